Set down the kernel, the core types and one path from end to end

Cause: the repository is empty; everything later has to be a measured change to something that runs. Change: micro-kernel with services by name, shared enums and types, abstract host classes, HTTP entry, peer forwarding, a backend transport, ownership read from the platform's table, stand-ins for platform and backend servers, demo. Conclusion: the thin path runs; ownership, queueing, limits and the operators' tool are placeholders behind their contracts.

--- /dev/null
+++ b/scripts/process_group.ts
@@ -0,0 +1,67 @@
+/**
+ * Starts the demo's and the tests' processes, each on a free port, and ends
+ * them by identifier.
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+
+/** A started process. */
+export interface StartedProcess {
+  readonly name: string;
+  readonly child: ChildProcess;
+}
+
+/** Finds a port that is free at this moment. */
+export async function findFreePort(): Promise<number> {
+  const server = createServer().listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, "close");
+  return port;
+}
+
+/** Processes that end together. */
+export class ProcessGroup {
+  readonly #processes: StartedProcess[] = [];
+
+  /** Starts a TypeScript program with the given environment. */
+  start(
+    name: string,
+    options: {
+      readonly program: string;
+      readonly environment: Readonly<Record<string, string>>;
+      readonly onStderr?: (text: string) => void;
+    },
+  ): StartedProcess {
+    const child = spawn(
+      process.execPath,
+      ["--import", "tsx", options.program],
+      {
+        env: { ...process.env, ...options.environment },
+        stdio: ["ignore", "pipe", "pipe"],
+      },
+    );
+    child.stdout?.resume();
+    child.stderr?.on("data", (chunk) => options.onStderr?.(String(chunk)));
+    const started = { name, child };
+    this.#processes.push(started);
+    return started;
+  }
+
+  /** Ends one process and waits for it. */
+  async end(started: StartedProcess, signal: NodeJS.Signals): Promise<void> {
+    const { child } = started;
+    if (child.exitCode !== null || child.signalCode !== null) return;
+    const exited = once(child, "exit");
+    child.kill(signal);
+    await exited;
+  }
+
+  /** Ends every process at once, whatever state it is in. */
+  async endAll(): Promise<void> {
+    await Promise.all(this.#processes.map((p) => this.end(p, "SIGKILL")));
+  }
+}
--- /dev/null
+++ b/scripts/run_tests.ts
@@ -0,0 +1,74 @@
+/**
+ * Runs the test files given as patterns under `src`, `standins` and `bench`,
+ * and prints the closing line that CI counts. Exits 1 on a failure or when no
+ * test ran.
+ */
+import { spawn } from "node:child_process";
+import { readdirSync } from "node:fs";
+import { join } from "node:path";
+
+const roots = ["src", "standins", "bench", "scripts"];
+const testFileSuffix = "_test.ts";
+
+/** Lists the test files below the roots, ordered by path. */
+function listTestFiles(filter: string | undefined): string[] {
+  return roots
+    .flatMap((root) =>
+      readdirSync(root, { recursive: true, encoding: "utf8" })
+        .map((file) => join(root, file))
+    )
+    .filter((file) => file.endsWith(testFileSuffix))
+    .filter((file) => filter === undefined || file.includes(filter))
+    .sort();
+}
+
+interface FileResult {
+  readonly passedCount: number;
+  readonly failedCount: number;
+}
+
+/** Runs one file in a process of its own, since uvu keeps its suites global. */
+function runTestFile(file: string): Promise<FileResult> {
+  return new Promise((resolve) => {
+    const child = spawn(process.execPath, ["--import", "tsx", file], {
+      stdio: ["ignore", "pipe", "inherit"],
+    });
+    let output = "";
+    child.stdout.on("data", (chunk) => output += String(chunk));
+    child.on("close", (exitCode) => {
+      const totalCount = readCount(output, "Total");
+      const passedCount = readCount(output, "Passed");
+      const crashedCount = exitCode !== 0 && totalCount === passedCount ? 1 : 0;
+      const failedCount = totalCount - passedCount + crashedCount;
+      console.log(`${failedCount === 0 ? "ok  " : "FAIL"} ${file}`);
+      if (failedCount > 0 || output.includes("KNOWN RED")) console.log(output);
+      resolve({ passedCount, failedCount });
+    });
+  });
+}
+
+/** Reads a figure from uvu's closing lines; 0 when it is missing. */
+function readCount(output: string, label: string): number {
+  // deno-lint-ignore no-control-regex
+  const plain = output.replace(/\u001b\[[0-9;]*m/g, "");
+  return Number(new RegExp(`${label}:\\s+(\\d+)`).exec(plain)?.[1] ?? 0);
+}
+
+const concurrentFileCount = 4;
+const files = listTestFiles(process.argv[2]);
+const results: FileResult[] = [];
+
+/** Takes files until none is left. */
+async function runWorker(): Promise<void> {
+  for (;;) {
+    const file = files.shift();
+    if (file === undefined) return;
+    results.push(await runTestFile(file));
+  }
+}
+
+await Promise.all(Array.from({ length: concurrentFileCount }, runWorker));
+const passedCount = results.reduce((sum, r) => sum + r.passedCount, 0);
+const failedCount = results.reduce((sum, r) => sum + r.failedCount, 0);
+console.log(`${passedCount} passed, ${failedCount} failed`);
+process.exitCode = failedCount > 0 || passedCount === 0 ? 1 : 0;
--- /dev/null
+++ b/src/daemon/create_daemon.ts
@@ -0,0 +1,126 @@
+/** Assembles the services of one daemon. Nothing here starts. */
+import { HttpBackendTransport } from "../services/backend/http_backend_transport.ts";
+import {
+  HttpObjectStore,
+  HttpPlatformClient,
+  HttpPlatformTable,
+  HttpVmDirectory,
+} from "../host/http_platform.ts";
+import { SystemRandomSource } from "../host/random_source.ts";
+import { SystemClock } from "../host/system_clock.ts";
+import { Kernel } from "../kernel/kernel.ts";
+import { OpenAdmission } from "../services/admission/open_admission.ts";
+import { RetryingDelivery } from "../services/delivery/retrying_delivery.ts";
+import { HttpEntry } from "../services/entry/http_entry.ts";
+import { SlotHome } from "../services/home/slot_home.ts";
+import { ConsolaLog } from "../services/log/consola_log.ts";
+import { DirectoryMembership } from "../services/membership/directory_membership.ts";
+import { StatsdMetrics } from "../services/metrics/statsd_metrics.ts";
+import { ConnectOperator } from "../services/operator/connect_operator.ts";
+import { TableOwnership } from "../services/ownership/table_ownership.ts";
+import { HttpPeerServer } from "../services/peers/http_peer_server.ts";
+import { HttpPeerTransport } from "../services/peers/http_peer_transport.ts";
+import type { Settings } from "./settings.ts";
+
+const connectTimeoutMs = 500;
+const peerCallTimeoutMs = 1_000;
+const connectionsPerPeer = 16;
+
+/** Registers every service that a daemon runs. */
+export function createDaemon(settings: Settings): Kernel {
+  const kernel = new Kernel();
+  registerHost(kernel, settings);
+  registerDecisions(kernel, settings);
+  registerFaces(kernel, settings);
+  return kernel;
+}
+
+function registerHost(kernel: Kernel, settings: Settings): void {
+  const platform = new HttpPlatformClient({
+    address: settings.platformAddress,
+    timeoutMs: settings.platformTimeoutMs,
+  });
+  kernel
+    .register(new SystemClock())
+    .register(new SystemRandomSource())
+    .register(
+      new ConsolaLog({
+        format: settings.logFormat,
+        daemonId: settings.daemonId,
+      }),
+    )
+    .register(
+      new StatsdMetrics({
+        address: settings.statsdAddress,
+        daemonId: settings.daemonId,
+      }),
+    )
+    .register(new HttpPlatformTable(platform))
+    .register(new HttpObjectStore(platform))
+    .register(
+      new HttpVmDirectory(platform, {
+        pollIntervalMs: settings.vmPollIntervalMs,
+      }),
+    )
+    .register(
+      new HttpPeerTransport({
+        secret: settings.peerSecret,
+        connectionsPerPeer,
+        connectTimeoutMs,
+        callTimeoutMs: peerCallTimeoutMs,
+      }),
+    )
+    .register(
+      new HttpBackendTransport({
+        connectTimeoutMs,
+        connectionsPerServer: connectionsPerBackendServer(settings),
+      }),
+    );
+}
+
+function registerDecisions(kernel: Kernel, settings: Settings): void {
+  kernel
+    .register(
+      new DirectoryMembership({
+        daemonId: settings.daemonId,
+        address: settings.peerAddress,
+        dataCentre: settings.dataCentre,
+      }),
+    )
+    .register(
+      new TableOwnership({
+        definitions: settings.services,
+        pollIntervalMs: settings.ownershipIntervalMs,
+        permitDurationMs: settings.permitDurationMs,
+      }),
+    )
+    .register(new SlotHome())
+    .register(new RetryingDelivery())
+    .register(new OpenAdmission());
+}
+
+function registerFaces(kernel: Kernel, settings: Settings): void {
+  kernel
+    .register(
+      new HttpPeerServer({
+        ...splitAddress(settings.peerAddress),
+        secret: settings.peerSecret,
+      }),
+    )
+    .register(new ConnectOperator())
+    .register(
+      new HttpEntry({ ...settings, ...splitAddress(settings.entryAddress) }),
+    );
+}
+
+/** One connection for each slot and one for control. */
+function connectionsPerBackendServer(settings: Settings): number {
+  return Math.max(...settings.services.map((s) => s.slotsPerServer));
+}
+
+function splitAddress(
+  address: string,
+): { readonly host: string; readonly port: number } {
+  const [host = "", port = ""] = address.split(":");
+  return { host, port: Number(port) };
+}
--- /dev/null
+++ b/src/diagnostics/messages.ts
@@ -0,0 +1,90 @@
+/**
+ * The one table of user-facing messages. Each code is stable: callers and
+ * operators may match on it. `{0}` is replaced by the detail of the failure.
+ */
+
+/** Stable codes of everything a caller or an operator can be told. */
+export enum MessageCode {
+  ServiceMissing = "SR1001",
+  ServiceDuplicate = "SR1002",
+  ServiceCycle = "SR1003",
+  SettingInvalid = "SR1101",
+  RequestMalformed = "SR2001",
+  CustomerUnknown = "SR2002",
+  ServiceUnknown = "SR2003",
+  KeyInvalid = "SR2004",
+  BodyTooLarge = "SR2005",
+  BodyTruncated = "SR2006",
+  DeadlineExceeded = "SR2007",
+  RequestCancelled = "SR2008",
+  DaemonDraining = "SR2009",
+  NoOwner = "SR3001",
+  NotHome = "SR3002",
+  PermitLapsed = "SR3003",
+  KeyInMotion = "SR3004",
+  FenceRefused = "SR3005",
+  LimitExceeded = "SR4001",
+  Overloaded = "SR4002",
+  RetryBudgetSpent = "SR4003",
+  BackendUnreachable = "SR5001",
+  BackendRefused = "SR5002",
+  OutcomeUnknown = "SR5003",
+  AnswerBroken = "SR5004",
+  RepeatInProgress = "SR5005",
+  PeerUnreachable = "SR6001",
+  PeerUnauthorized = "SR6002",
+  PlatformUnavailable = "SR7001",
+  PlatformAnswerLost = "SR7002",
+  ListInvalid = "SR8001",
+  ListConflict = "SR8002",
+  Internal = "SR9001",
+}
+
+const messageTexts: Record<MessageCode, string> = {
+  [MessageCode.ServiceMissing]: "service {0} is not registered",
+  [MessageCode.ServiceDuplicate]: "service {0} is already registered",
+  [MessageCode.ServiceCycle]: "service {0} needs itself",
+  [MessageCode.SettingInvalid]: "{0}",
+  [MessageCode.RequestMalformed]: "the request is malformed: {0}",
+  [MessageCode.CustomerUnknown]: "customer {0} is not in the list of plans",
+  [MessageCode.ServiceUnknown]: "service {0} is not configured",
+  [MessageCode.KeyInvalid]: "the key is invalid: {0}",
+  [MessageCode.BodyTooLarge]: "the request body exceeds {0}",
+  [MessageCode.BodyTruncated]: "the request body ended early",
+  [MessageCode.DeadlineExceeded]: "the deadline passed: {0}",
+  [MessageCode.RequestCancelled]: "the caller cancelled the request",
+  [MessageCode.DaemonDraining]: "the daemon is draining",
+  [MessageCode.NoOwner]: "no backend server owns the key: {0}",
+  [MessageCode.NotHome]: "this daemon is not the home of {0}",
+  [MessageCode.PermitLapsed]: "the routing permit has lapsed",
+  [MessageCode.KeyInMotion]: "the key is moving to another backend server",
+  [MessageCode.FenceRefused]: "the backend server refused the fence: {0}",
+  [MessageCode.LimitExceeded]: "limit {0} is exhausted",
+  [MessageCode.Overloaded]: "the request was shed under overload: {0}",
+  [MessageCode.RetryBudgetSpent]: "the retry budget is spent: {0}",
+  [MessageCode.BackendUnreachable]: "the backend server is unreachable: {0}",
+  [MessageCode.BackendRefused]: "the backend server refused the request: {0}",
+  [MessageCode.OutcomeUnknown]: "the request may have run: {0}",
+  [MessageCode.AnswerBroken]: "the answer was cut short: {0}",
+  [MessageCode.RepeatInProgress]:
+    "a request with the same idempotency key is in progress",
+  [MessageCode.PeerUnreachable]: "the peer daemon is unreachable: {0}",
+  [MessageCode.PeerUnauthorized]: "the peer secret is missing or wrong",
+  [MessageCode.PlatformUnavailable]: "the platform is unavailable: {0}",
+  [MessageCode.PlatformAnswerLost]:
+    "the platform's answer was lost; the write may have taken effect: {0}",
+  [MessageCode.ListInvalid]: "{0}",
+  [MessageCode.ListConflict]: "the lists changed since they were read: {0}",
+  [MessageCode.Internal]: "internal error: {0}",
+};
+
+/** Renders a message with its step and peer. */
+export function formatMessage(
+  code: MessageCode,
+  step: string,
+  facts: { readonly peer?: string; readonly detail?: string },
+): string {
+  const text = messageTexts[code].replace("{0}", facts.detail ?? "");
+  const peer = facts.peer === undefined ? "" : ` (peer ${facts.peer})`;
+  return `${code} ${step}: ${text}${peer}`;
+}
--- /dev/null
+++ b/src/host/random_source.ts
@@ -0,0 +1,53 @@
+/** Random numbers, as every service sees them; seeded in tests. */
+import { randomBytes } from "node:crypto";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import { Service } from "../kernel/service.ts";
+import { ServiceName } from "../kernel/service_name.ts";
+
+/** A source of random numbers and identifiers. */
+export abstract class RandomSource extends Service {
+  override readonly name = ServiceName.Random;
+
+  /** A number in [0, 1). */
+  abstract nextFraction(): number;
+
+  /** An identifier that no other call, in any process, returns. */
+  abstract nextId(): string;
+
+  /** An integer in [0, bound). */
+  nextInt(bound: number): number {
+    return Math.floor(this.nextFraction() * bound);
+  }
+}
+
+/** Unpredictable numbers from the operating system. */
+export class SystemRandomSource extends RandomSource {
+  override nextFraction(): number {
+    return randomBytes(4).readUInt32LE(0) / 2 ** 32;
+  }
+
+  override nextId(): string {
+    return randomBytes(12).toString("hex");
+  }
+}
+
+/** Repeatable numbers from a seed. */
+export class SeededRandomSource extends RandomSource {
+  readonly #generator: RandomGenerator;
+
+  constructor(seed: number) {
+    super();
+    this.#generator = xoroshiro128plus(seed);
+  }
+
+  override nextFraction(): number {
+    return (this.#generator.next() >>> 0) / 2 ** 32;
+  }
+
+  override nextId(): string {
+    const high = (this.#generator.next() >>> 0).toString(16).padStart(8, "0");
+    const low = (this.#generator.next() >>> 0).toString(16).padStart(8, "0");
+    return `${high}${low}`;
+  }
+}
--- /dev/null
+++ b/src/kernel/kernel_test.ts
@@ -0,0 +1,116 @@
+import * as assert from "uvu/assert";
+import { describe, it } from "../testing/describe.ts";
+import { Kernel } from "./kernel.ts";
+import { Service } from "./service.ts";
+import { ServiceName } from "./service_name.ts";
+
+class RecordingService extends Service {
+  constructor(
+    readonly name: ServiceName,
+    readonly journal: string[],
+    readonly options: { needs?: ServiceName[]; failsToStart?: boolean } = {},
+  ) {
+    super();
+  }
+
+  override get needs(): readonly ServiceName[] {
+    return this.options.needs ?? [];
+  }
+
+  override start(): Promise<void> {
+    if (this.options.failsToStart) return Promise.reject(new Error("broken"));
+    this.journal.push(`start ${this.name}`);
+    return Promise.resolve();
+  }
+
+  override drain(): Promise<void> {
+    this.journal.push(`drain ${this.name}`);
+    return Promise.resolve();
+  }
+
+  override stop(): Promise<void> {
+    this.journal.push(`stop ${this.name}`);
+    return Promise.resolve();
+  }
+}
+
+describe("Kernel", () => {
+  describe("start order", () => {
+    it("starts needs first, drains all, then stops in reverse", async () => {
+      const journal: string[] = [];
+      const kernel = new Kernel()
+        .register(
+          new RecordingService(ServiceName.Entry, journal, {
+            needs: [ServiceName.Clock],
+          }),
+        )
+        .register(new RecordingService(ServiceName.Clock, journal));
+      await kernel.start();
+      await kernel.stop();
+      assert.equal(journal, [
+        "start clock",
+        "start entry",
+        "drain entry",
+        "drain clock",
+        "stop entry",
+        "stop clock",
+      ]);
+    });
+
+    it("refuses a cycle", async () => {
+      const kernel = new Kernel()
+        .register(
+          new RecordingService(ServiceName.Entry, [], {
+            needs: [ServiceName.Clock],
+          }),
+        )
+        .register(
+          new RecordingService(ServiceName.Clock, [], {
+            needs: [ServiceName.Entry],
+          }),
+        );
+      await assertRejects(kernel.start(), "SR1003");
+    });
+
+    it("stops what runs when a service fails to start", async () => {
+      const journal: string[] = [];
+      const kernel = new Kernel()
+        .register(new RecordingService(ServiceName.Clock, journal))
+        .register(
+          new RecordingService(ServiceName.Entry, journal, {
+            failsToStart: true,
+          }),
+        );
+      await assertRejects(kernel.start(), "broken");
+      assert.equal(journal, ["start clock", "drain clock", "stop clock"]);
+    });
+  });
+
+  describe("look-up", () => {
+    it("names the missing service", () => {
+      assert.throws(() => new Kernel().get(ServiceName.Home), /home/);
+    });
+
+    it("refuses a second service of the same name", () => {
+      const kernel = new Kernel()
+        .register(new RecordingService(ServiceName.Clock, []));
+      assert.throws(
+        () => kernel.register(new RecordingService(ServiceName.Clock, [])),
+        /SR1002/,
+      );
+    });
+  });
+});
+
+async function assertRejects(
+  promise: Promise<unknown>,
+  text: string,
+): Promise<void> {
+  try {
+    await promise;
+  } catch (error) {
+    assert.match(String(error), text);
+    return;
+  }
+  assert.unreachable("the promise should have rejected");
+}
--- /dev/null
+++ b/src/kernel/service_name.ts
@@ -0,0 +1,27 @@
+/**
+ * The names under which services register with the kernel and find each
+ * other. A service never imports another service's implementation; it asks
+ * the kernel for the name and receives the abstract class.
+ */
+
+/** Every service of a daemon, in no particular order. */
+export enum ServiceName {
+  Clock = "clock",
+  Random = "random",
+  Log = "log",
+  Metrics = "metrics",
+  PlatformTable = "platform-table",
+  ObjectStore = "object-store",
+  VmDirectory = "vm-directory",
+  PeerServer = "peer-server",
+  PeerTransport = "peer-transport",
+  BackendTransport = "backend-transport",
+  Membership = "membership",
+  Ownership = "ownership",
+  Lists = "lists",
+  Admission = "admission",
+  Home = "home",
+  Delivery = "delivery",
+  Entry = "entry",
+  Operator = "operator",
+}
--- /dev/null
+++ b/src/services/backend/http_backend_transport.ts
@@ -0,0 +1,250 @@
+/**
+ * Backend servers over HTTP with undici. Maps what happened on the wire to an
+ * attempt outcome: only a failed connection or an explicit refusal by the
+ * server counts as not run.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { Pool } from "undici";
+import { z } from "zod";
+import { MessageCode } from "../../diagnostics/messages.ts";
+import {
+  type BackendGrant,
+  type BackendReport,
+  BackendTransport,
+} from "../../host/backend_transport.ts";
+import { AttemptOutcome } from "../../types/enums.ts";
+import { RouterError } from "../../types/errors.ts";
+import type {
+  AssignedServer,
+  KeyLocation,
+  RoutedRequest,
+  RoutedResponse,
+} from "../../types/types.ts";
+import { flattenHeaders } from "./http_headers.ts";
+
+/** Header by which a backend server says that it did not run a request. */
+export const refusedUnrunHeader = "skylark-refused-unrun";
+
+const reportSchema = z.object({
+  isHealthy: z.boolean(),
+  isDraining: z.boolean(),
+  isWarm: z.boolean(),
+  busySlots: z.number(),
+});
+
+const statusOk = 200;
+const probeConnectionCount = 1;
+
+/** Settings of the backend transport. */
+export interface HttpBackendTransportOptions {
+  readonly connectTimeoutMs: number;
+  /** Connections this daemon may open to one backend server. */
+  readonly connectionsPerServer: number;
+}
+
+/** Codes that undici reports when no byte of the request was sent. */
+const notSentCodes: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** The connections to one backend server. */
+interface ServerPools {
+  readonly requests: Pool;
+  readonly control: Pool;
+}
+
+/** Reaches backend servers over HTTP. */
+export class HttpBackendTransport extends BackendTransport {
+  readonly #options: HttpBackendTransportOptions;
+  readonly #pools = new Map<string, ServerPools>();
+
+  constructor(options: HttpBackendTransportOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override async stop(): Promise<void> {
+    const pools = [...this.#pools.values()];
+    this.#pools.clear();
+    await Promise.all(
+      pools.flatMap(({ requests, control }) => [
+        requests.destroy(),
+        control.destroy(),
+      ]),
+    );
+  }
+
+  override async send(
+    request: RoutedRequest,
+    location: KeyLocation,
+    options: {
+      readonly signal: AbortSignal;
+      readonly startBeforeWallMs: number;
+    },
+  ): Promise<Result<RoutedResponse, RouterError>> {
+    const { server } = location;
+    try {
+      const answer = await this.#poolsOf(server).requests.request({
+        path: request.path,
+        method: request.method,
+        headers: {
+          ...request.headers,
+          "skylark-service": request.service,
+          "skylark-key": encodeURIComponent(request.key),
+          "skylark-customer": encodeURIComponent(request.customer),
+          "skylark-request-id": request.requestId,
+          "skylark-shard": String(location.shard),
+          "skylark-fence": String(location.fence),
+          "skylark-start-before-wall-ms": String(options.startBeforeWallMs),
+        },
+        ...(request.body.length === 0 ? {} : { body: request.body }),
+        signal: options.signal,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      });
+      const headers = flattenHeaders(answer.headers);
+      const refusal = headers[refusedUnrunHeader];
+      if (refusal === undefined) {
+        return ok({ status: answer.statusCode, headers, body: answer.body });
+      }
+      await answer.body.dump();
+      return err(createRefusal(server, refusal));
+    } catch (error) {
+      return err(createSendError(server, error));
+    }
+  }
+
+  override async probe(
+    server: AssignedServer,
+    signal: AbortSignal,
+  ): Promise<Result<BackendReport, RouterError>> {
+    const answer = await this.#control(server, {
+      method: "GET",
+      path: "/health",
+      signal,
+    });
+    return answer.map((text) => reportSchema.parse(JSON.parse(text)));
+  }
+
+  override async grant(
+    server: AssignedServer,
+    grant: BackendGrant,
+    signal: AbortSignal,
+  ): Promise<Result<void, RouterError>> {
+    const answer = await this.#control(server, {
+      method: "POST",
+      path: "/grant",
+      body: JSON.stringify(grant),
+      signal,
+    });
+    return answer.map(() => undefined);
+  }
+
+  override async revoke(
+    server: AssignedServer,
+    grant: BackendGrant,
+    signal: AbortSignal,
+  ): Promise<Result<void, RouterError>> {
+    const answer = await this.#control(server, {
+      method: "POST",
+      path: "/revoke",
+      body: JSON.stringify(grant),
+      signal,
+    });
+    return answer.map(() => undefined);
+  }
+
+  override async forget(server: AssignedServer): Promise<void> {
+    const pools = this.#pools.get(server.address);
+    if (pools === undefined) return;
+    this.#pools.delete(server.address);
+    await pools.requests.close();
+    await pools.control.close();
+  }
+
+  async #control(
+    server: AssignedServer,
+    call: {
+      readonly method: "GET" | "POST";
+      readonly path: string;
+      readonly body?: string;
+      readonly signal: AbortSignal;
+    },
+  ): Promise<Result<string, RouterError>> {
+    const step = `${call.method} ${call.path}`;
+    try {
+      const { path, method, body, signal } = call;
+      const answer = await this.#poolsOf(server).control.request({
+        path,
+        method,
+        signal,
+        ...(body === undefined ? {} : { body }),
+      });
+      const text = await answer.body.text();
+      if (answer.statusCode === statusOk) return ok(text);
+      return err(
+        new RouterError(MessageCode.BackendRefused, step, {
+          peer: server.serverId,
+          detail: `status ${answer.statusCode}`,
+          outcome: AttemptOutcome.RefusedUnrun,
+        }),
+      );
+    } catch (error) {
+      return err(
+        new RouterError(MessageCode.BackendUnreachable, step, {
+          peer: server.serverId,
+          detail: String(error),
+          outcome: AttemptOutcome.Unknown,
+          cause: error,
+        }),
+      );
+    }
+  }
+
+  #poolsOf(server: AssignedServer): ServerPools {
+    const known = this.#pools.get(server.address);
+    if (known !== undefined) return known;
+    const origin = `http://${server.address}`;
+    const connect = { timeout: this.#options.connectTimeoutMs };
+    const pools = {
+      requests: new Pool(origin, {
+        connections: this.#options.connectionsPerServer,
+        connect,
+      }),
+      control: new Pool(origin, { connections: probeConnectionCount, connect }),
+    };
+    this.#pools.set(server.address, pools);
+    return pools;
+  }
+}
+
+function createRefusal(server: AssignedServer, detail: string): RouterError {
+  const isFence = detail === "fence";
+  return new RouterError(
+    isFence ? MessageCode.FenceRefused : MessageCode.BackendRefused,
+    "send",
+    {
+      peer: server.serverId,
+      detail,
+      outcome: AttemptOutcome.RefusedUnrun,
+    },
+  );
+}
+
+function createSendError(server: AssignedServer, error: unknown): RouterError {
+  const code = (error as { code?: string }).code ?? "";
+  const isNotSent = notSentCodes.has(code);
+  return new RouterError(
+    isNotSent ? MessageCode.BackendUnreachable : MessageCode.OutcomeUnknown,
+    "send",
+    {
+      peer: server.serverId,
+      detail: String(error),
+      outcome: isNotSent ? AttemptOutcome.NotSent : AttemptOutcome.Unknown,
+      cause: error,
+    },
+  );
+}
--- /dev/null
+++ b/src/services/backend/http_headers.ts
@@ -0,0 +1,29 @@
+/** Header handling shared by the HTTP faces. */
+import type { IncomingHttpHeaders } from "node:http";
+
+/** Headers that belong to one connection and are never passed on. */
+const hopByHopHeaders: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "expect",
+  "host",
+]);
+
+/** Joins repeated headers and drops those that belong to one connection. */
+export function flattenHeaders(
+  headers: IncomingHttpHeaders,
+): Record<string, string> {
+  const flat: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || hopByHopHeaders.has(name)) continue;
+    flat[name] = Array.isArray(value) ? value.join(", ") : value;
+  }
+  return flat;
+}
--- /dev/null
+++ b/src/services/entry/write_body.ts
@@ -0,0 +1,32 @@
+/** Streams a body to an HTTP response with back-pressure. */
+import { once } from "node:events";
+import type { ServerResponse } from "node:http";
+
+/**
+ * Writes every chunk and ends the response. When the body fails, destroys the
+ * connection, so that the receiver sees a broken answer, never a short one.
+ */
+export async function writeBody(
+  response: ServerResponse,
+  body: AsyncIterable<Uint8Array>,
+): Promise<void> {
+  try {
+    for await (const chunk of body) {
+      if (response.destroyed) return;
+      if (!response.write(chunk)) await waitForDrain(response);
+    }
+    response.end();
+  } catch (error) {
+    response.destroy();
+    throw error;
+  }
+}
+
+async function waitForDrain(response: ServerResponse): Promise<void> {
+  const settled = new AbortController();
+  const { signal } = settled;
+  await Promise.race([
+    once(response, "drain", { signal }),
+    once(response, "close", { signal }),
+  ]).finally(() => settled.abort());
+}
--- /dev/null
+++ b/src/services/log/consola_log.ts
@@ -0,0 +1,76 @@
+/** Log lines by consola, as text or as one JSON object a line. */
+import { createConsola } from "consola";
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { Log, type LogFields } from "./log.ts";
+
+/** The forms of a log line. */
+export enum LogFormat {
+  Text = "text",
+  Json = "json",
+}
+
+enum LogLevel {
+  Info = "info",
+  Warn = "warn",
+  Error = "error",
+}
+
+/** Writes lines to standard error. */
+export class ConsolaLog extends Log {
+  readonly #format: LogFormat;
+  readonly #daemonId: string;
+  readonly #consola = createConsola({
+    stdout: process.stderr,
+    stderr: process.stderr,
+  });
+  #services: ServiceLookup | undefined;
+
+  constructor(
+    options: { readonly format: LogFormat; readonly daemonId: string },
+  ) {
+    super();
+    this.#format = options.format;
+    this.#daemonId = options.daemonId;
+  }
+
+  override get needs(): readonly ServiceName[] {
+    return [ServiceName.Clock];
+  }
+
+  override start(services: ServiceLookup): Promise<void> {
+    this.#services = services;
+    return Promise.resolve();
+  }
+
+  override info(message: string, fields: LogFields = {}): void {
+    this.#write(LogLevel.Info, { message, fields });
+  }
+
+  override warn(message: string, fields: LogFields = {}): void {
+    this.#write(LogLevel.Warn, { message, fields });
+  }
+
+  override error(message: string, fields: LogFields = {}): void {
+    this.#write(LogLevel.Error, { message, fields });
+  }
+
+  #write(
+    level: LogLevel,
+    line: { readonly message: string; readonly fields: LogFields },
+  ): void {
+    if (this.#format === LogFormat.Text) {
+      this.#consola[level](line.message, line.fields);
+      return;
+    }
+    const clock = this.#services?.get(ServiceName.Clock);
+    const record = {
+      wallTimeMs: clock?.wallTimeMs(),
+      level,
+      daemonId: this.#daemonId,
+      message: line.message,
+      ...line.fields,
+    };
+    process.stderr.write(`${JSON.stringify(record)}\n`);
+  }
+}
--- /dev/null
+++ b/src/services/metrics/metrics.ts
@@ -0,0 +1,75 @@
+/**
+ * The contract of the metrics service: counters by name and histograms for
+ * each customer and class.
+ */
+import { Service } from "../../kernel/service.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import type { RequestClass } from "../../types/enums.ts";
+
+/** Names of all counters; each is described in docs/OPERATING.md. */
+export enum CounterName {
+  RequestsReceived = "requests.received",
+  RequestsAnswered = "requests.answered",
+  RequestsRefused = "requests.refused",
+  RequestsMalformed = "requests.malformed",
+  RequestsForwarded = "requests.forwarded",
+  AttemptsSent = "attempts.sent",
+  AttemptsRetried = "attempts.retried",
+  AttemptsUnknown = "attempts.unknown",
+  AttemptsRefusedUnrun = "attempts.refused_unrun",
+  RepeatsAnswered = "repeats.answered",
+  RequestsShed = "requests.shed",
+  LimitRefusals = "limits.refused",
+  MovesStarted = "moves.started",
+  MovesFinished = "moves.finished",
+  PermitsLapsed = "permits.lapsed",
+  CoordinatorTakeovers = "coordinator.takeovers",
+  PlatformErrors = "platform.errors",
+  PlatformWrites = "platform.writes",
+  PlatformReads = "platform.reads",
+  PeerErrors = "peers.errors",
+  PeerUnauthorized = "peers.unauthorized",
+  ProbesSent = "probes.sent",
+  ListsAccepted = "lists.accepted",
+  ListsRefused = "lists.refused",
+}
+
+/** The parts of a request's time that are recorded. */
+export enum TimingName {
+  Wait = "request.wait_ms",
+  Service = "request.service_ms",
+  Total = "request.total_ms",
+}
+
+/** Quantiles of one histogram, in milliseconds. */
+export interface HistogramSummary {
+  readonly timing: TimingName;
+  readonly customer: string;
+  readonly requestClass: RequestClass;
+  readonly count: number;
+  readonly p50Ms: number;
+  readonly p90Ms: number;
+  readonly p99Ms: number;
+  readonly maxMs: number;
+}
+
+/** Counts events and records durations. */
+export abstract class Metrics extends Service {
+  override readonly name = ServiceName.Metrics;
+
+  /** Adds to a counter; `tag` distinguishes a bounded set of causes. */
+  abstract count(name: CounterName, tag?: string, by?: number): void;
+
+  /** Records a duration in the customer's and class's histogram. */
+  abstract record(
+    timing: TimingName,
+    durationMs: number,
+    labels: { readonly customer: string; readonly requestClass: RequestClass },
+  ): void;
+
+  /** Every counter with its tag, by name. */
+  abstract counters(): ReadonlyMap<string, number>;
+
+  /** Every histogram. */
+  abstract histograms(): readonly HistogramSummary[];
+}
--- /dev/null
+++ b/src/services/peers/forward_handler.ts
@@ -0,0 +1,67 @@
+/** Receives a forwarded request on the peer listener and hands it to the home. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { buffer } from "node:stream/consumers";
+import { MessageCode } from "../../diagnostics/messages.ts";
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { RouterError, toRouterError } from "../../types/errors.ts";
+import { encodeFailure } from "../../types/failure_codec.ts";
+import type { RoutedRequest } from "../../types/types.ts";
+import { writeBody } from "../entry/write_body.ts";
+import {
+  decodeForward,
+  failureHeader,
+  forwardHeader,
+} from "./forward_codec.ts";
+
+const statusFailure = 599;
+
+/** The two halves of one HTTP exchange. */
+export interface HttpExchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
+/** One task for one forwarded request, from its first byte to its last. */
+export async function handleForward(
+  services: ServiceLookup,
+  { request, response }: HttpExchange,
+): Promise<void> {
+  const cancelled = new AbortController();
+  response.once("close", () => cancelled.abort());
+  try {
+    const routed = await readForward(services, request);
+    const result = await services.get(ServiceName.Home)
+      .dispatch(routed, { signal: cancelled.signal });
+    if (result.isErr()) return sendFailure(response, result.error);
+    response.writeHead(result.value.status, { ...result.value.headers });
+    await writeBody(response, result.value.body);
+  } catch (error) {
+    const failure = toRouterError(error, MessageCode.Internal, {
+      step: "handle forwarded request",
+    });
+    sendFailure(response, failure);
+  }
+}
+
+async function readForward(
+  services: ServiceLookup,
+  request: IncomingMessage,
+): Promise<RoutedRequest> {
+  const header = request.headers[forwardHeader];
+  if (typeof header !== "string") {
+    throw new RouterError(MessageCode.RequestMalformed, "decode forward", {
+      detail: `header ${forwardHeader} is missing`,
+    });
+  }
+  const body = await buffer(request);
+  const nowMs = services.get(ServiceName.Clock).nowMs();
+  return decodeForward(header, { body, nowMs });
+}
+
+function sendFailure(response: ServerResponse, failure: RouterError): void {
+  if (response.headersSent) return void response.destroy();
+  const encoded = Buffer.from(encodeFailure(failure)).toString("base64url");
+  response.writeHead(statusFailure, { [failureHeader]: encoded });
+  response.end();
+}
--- /dev/null
+++ b/src/services/peers/http_peer_server.ts
@@ -0,0 +1,131 @@
+/**
+ * The peer listener over Node's `http`: Connect services for control, and a
+ * plain streaming path for forwarded requests. Every request must carry the
+ * fleet's shared secret, so the listener can be reached by callers without
+ * being open to them.
+ */
+import { createHash, timingSafeEqual } from "node:crypto";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import type { DescService } from "@bufbuild/protobuf";
+import type { ConnectRouter, ServiceImpl } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { MessageCode } from "../../diagnostics/messages.ts";
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { RouterError } from "../../types/errors.ts";
+import { CounterName } from "../metrics/metrics.ts";
+import { handleForward } from "./forward_handler.ts";
+import { PeerServer } from "./peer_server.ts";
+import { forwardPath } from "./forward_codec.ts";
+
+const statusUnauthorized = 401;
+
+/** Settings of the peer listener. */
+export interface HttpPeerServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly secret: string;
+}
+
+/** Serves peers and operators over HTTP. */
+export class HttpPeerServer extends PeerServer {
+  readonly #options: HttpPeerServerOptions;
+  readonly #registrations: ((router: ConnectRouter) => void)[] = [];
+  #handleConnect: ReturnType<typeof connectNodeAdapter> | undefined;
+  #services: ServiceLookup | undefined;
+  #server: Server | undefined;
+
+  constructor(options: HttpPeerServerOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override get needs(): readonly ServiceName[] {
+    return [ServiceName.Clock, ServiceName.Metrics];
+  }
+
+  override addService<S extends DescService>(
+    description: S,
+    implementation: Partial<ServiceImpl<S>>,
+  ): void {
+    this.#registrations.push((router) =>
+      router.service(description, implementation)
+    );
+    this.#handleConnect = undefined;
+  }
+
+  override async start(services: ServiceLookup): Promise<void> {
+    this.#services = services;
+    const server = createServer((request, response) =>
+      this.#handle(request, response)
+    );
+    this.#server = server;
+    await listen(server, this.#options);
+  }
+
+  override async stop(): Promise<void> {
+    const server = this.#server;
+    if (server === undefined) return;
+    const closed = new Promise<void>((resolve) =>
+      server.close(() => resolve())
+    );
+    server.closeAllConnections();
+    await closed;
+  }
+
+  /** The port peers connect to. */
+  port(): number {
+    return (this.#server?.address() as AddressInfo | null)?.port ?? 0;
+  }
+
+  #handle(request: IncomingMessage, response: ServerResponse): void {
+    const services = this.#services;
+    if (services === undefined) return void response.destroy();
+    if (!isSecretEqual(request.headers.authorization, this.#options.secret)) {
+      services.get(ServiceName.Metrics).count(CounterName.PeerUnauthorized);
+      const error = new RouterError(MessageCode.PeerUnauthorized, "accept", {
+        peer: request.socket.remoteAddress ?? "",
+      });
+      response.writeHead(statusUnauthorized, { "content-type": "text/plain" });
+      response.end(error.message);
+      return;
+    }
+    if (request.url === forwardPath) {
+      handleForward(services, { request, response });
+      return;
+    }
+    this.#handleConnect ??= connectNodeAdapter({
+      routes: (router) => {
+        for (const register of this.#registrations) register(router);
+      },
+    });
+    this.#handleConnect(request, response);
+  }
+}
+
+/** Starts listening; rejects when the address is not available. */
+export function listen(
+  server: Server,
+  options: { readonly host: string; readonly port: number },
+): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(options.port, options.host, () => {
+      server.off("error", reject);
+      resolve();
+    });
+  });
+}
+
+/** Compares in constant time, whatever the lengths. */
+function isSecretEqual(header: string | undefined, secret: string): boolean {
+  const given = createHash("sha256").update(header ?? "").digest();
+  const expected = createHash("sha256").update(`Bearer ${secret}`).digest();
+  return timingSafeEqual(given, expected);
+}
--- /dev/null
+++ b/src/testing/virtual_clock.ts
@@ -0,0 +1,89 @@
+/**
+ * Virtual time for tests. Time moves only through `advance`, which fires the
+ * timers in order and lets every task run until it waits again.
+ */
+import TinyQueue from "tinyqueue";
+import { type CancelTimer, Clock } from "../host/clock.ts";
+
+interface Timer {
+  readonly dueAtMs: number;
+  readonly sequence: number;
+  readonly action: () => void;
+  isCancelled: boolean;
+}
+
+const settleTurns = 3;
+
+/** A clock whose time is set by the test. */
+export class VirtualClock extends Clock {
+  #nowMs = 0;
+  #sequence = 0;
+  readonly #wallStartMs: number;
+  readonly #timers = new TinyQueue<Timer>(
+    [],
+    (a, b) => a.dueAtMs - b.dueAtMs || a.sequence - b.sequence,
+  );
+
+  constructor(wallStartMs = 1_800_000_000_000) {
+    super();
+    this.#wallStartMs = wallStartMs;
+  }
+
+  override nowMs(): number {
+    return this.#nowMs;
+  }
+
+  override wallTimeMs(): number {
+    return this.#wallStartMs + this.#nowMs;
+  }
+
+  override sleep(durationMs: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      if (signal?.aborted === true) return resolve();
+      const cancel = this.after(durationMs, finish);
+      signal?.addEventListener("abort", finish, { once: true });
+      function finish(): void {
+        cancel();
+        signal?.removeEventListener("abort", finish);
+        resolve();
+      }
+    });
+  }
+
+  override after(durationMs: number, action: () => void): CancelTimer {
+    const timer: Timer = {
+      dueAtMs: this.#nowMs + Math.max(0, durationMs),
+      sequence: this.#sequence++,
+      action,
+      isCancelled: false,
+    };
+    this.#timers.push(timer);
+    return () => {
+      timer.isCancelled = true;
+    };
+  }
+
+  /** Moves time forward, firing each timer at its instant. */
+  async advance(durationMs: number): Promise<void> {
+    const endMs = this.#nowMs + durationMs;
+    await settle();
+    for (;;) {
+      const next = this.#timers.peek();
+      if (next === undefined || next.dueAtMs > endMs) break;
+      this.#timers.pop();
+      if (next.isCancelled) continue;
+      this.#nowMs = next.dueAtMs;
+      next.action();
+      await settle();
+    }
+    this.#nowMs = endMs;
+    await settle();
+  }
+}
+
+/** Lets every runnable task proceed until it waits. */
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < settleTurns; turn++) {
+    await new Promise<void>((resolve) => setImmediate(resolve));
+  }
+}
--- /dev/null
+++ b/src/types/types.ts
@@ -0,0 +1,165 @@
+/**
+ * The data that services exchange. Everything here is plain data; behaviour
+ * lives in the services. Instants named `...AtMs` are readings of the local
+ * monotonic clock unless the name says `Wall`.
+ */
+import type {
+  BackendServerState,
+  FencingMode,
+  MoveReason,
+  RequestClass,
+  VmRole,
+  VmState,
+  WindowKind,
+} from "./enums.ts";
+
+/** Identifies one run of a daemon; a restarted daemon has a new one. */
+export type DaemonId = string;
+/** Identifies a backend server. */
+export type ServerId = string;
+
+/** An entry of the platform's lagging list of VMs. */
+export interface VmRecord {
+  readonly vmId: string;
+  readonly role: VmRole;
+  readonly state: VmState;
+  /** `host:port`; the peer listener of a daemon, the HTTP port of a server. */
+  readonly address: string;
+  readonly dataCentre: string;
+  /** The service a backend server belongs to; undefined for daemons. */
+  readonly service?: string;
+}
+
+/** One service that backend servers offer, as the settings define it. */
+export interface ServiceDefinition {
+  readonly name: string;
+  readonly requestClass: RequestClass;
+  readonly shardCount: number;
+  readonly fencingMode: FencingMode;
+  /** Requests that one backend server runs at once. */
+  readonly slotsPerServer: number;
+  /** Connections that one backend server accepts from the whole fleet. */
+  readonly connectionsPerServer: number;
+  /** Relative cost of moving a key, against unavailable time. */
+  readonly churnWeight: number;
+}
+
+/** A daemon as its peers see it. */
+export interface DaemonInfo {
+  readonly daemonId: DaemonId;
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly isDraining: boolean;
+}
+
+/** A backend server within an assignment. */
+export interface AssignedServer {
+  readonly serverId: ServerId;
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly state: BackendServerState;
+  /** The only daemon that may send requests to the server. */
+  readonly homeDaemonId: DaemonId;
+  /** Keeps a copy of the home's idempotency records; next in line. */
+  readonly standbyDaemonId: DaemonId | undefined;
+  /** Rises whenever the home changes. */
+  readonly homeFence: number;
+}
+
+/** A single hot key lifted out of its shard. */
+export interface HotKeyOverride {
+  readonly key: string;
+  readonly serverId: ServerId;
+  readonly fence: number;
+}
+
+/**
+ * The committed assignment of one service: one row of the platform's table.
+ * `shardServers[i]` indexes `servers`, or is -1 when shard `i` has no owner.
+ */
+export interface ServiceAssignment {
+  readonly service: string;
+  /** The coordinator's epoch at the commit. */
+  readonly epoch: number;
+  /** Rises with each commit. */
+  readonly version: number;
+  /** Distinguishes this write from any other, to resolve lost answers. */
+  readonly writeId: string;
+  readonly servers: readonly AssignedServer[];
+  readonly shardServers: readonly number[];
+  readonly shardFences: readonly number[];
+  readonly overrides: readonly HotKeyOverride[];
+}
+
+/** Where a key is served, according to the assignment a daemon holds. */
+export interface KeyLocation {
+  readonly service: string;
+  readonly shard: number;
+  readonly server: AssignedServer;
+  /** Sent with each request; a backend server may refuse a lower one. */
+  readonly fence: number;
+  readonly assignmentVersion: number;
+}
+
+/** An entry of the bounded history of ownership decisions. */
+export interface MoveRecord {
+  readonly service: string;
+  readonly epoch: number;
+  readonly version: number;
+  readonly wallTimeMs: number;
+  readonly reason: MoveReason;
+  readonly fromServerId: ServerId | undefined;
+  readonly toServerId: ServerId | undefined;
+  readonly shardCount: number;
+  readonly key: string | undefined;
+}
+
+/** A caller's request after parsing, independent of the front end. */
+export interface RoutedRequest {
+  readonly requestId: string;
+  readonly customer: string;
+  readonly service: string;
+  readonly key: string;
+  readonly requestClass: RequestClass;
+  readonly isIdempotent: boolean;
+  readonly idempotencyKey: string | undefined;
+  readonly method: string;
+  /** Path and query as the backend server receives them. */
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  /** Local monotonic instant after which the answer is of no use. */
+  readonly deadlineAtMs: number;
+}
+
+/** A backend server's answer; the body streams. */
+export interface RoutedResponse {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: AsyncIterable<Uint8Array>;
+}
+
+/** One allowance: `count` requests in each window of `windowMs`. */
+export interface AllowanceWindow {
+  readonly kind: WindowKind;
+  readonly count: number;
+  readonly windowMs: number;
+}
+
+/** The two lists, accepted together under one version. */
+export interface AcceptedLists {
+  readonly version: number;
+  /** Plan of each customer. */
+  readonly planByCustomer: Readonly<Record<string, string>>;
+  readonly plans: Readonly<Record<string, PlanAllowance>>;
+}
+
+/** What one plan may use. */
+export interface PlanAllowance {
+  readonly name: string;
+  /** Order of shedding under overload: the highest rank is shed last. */
+  readonly rank: number;
+  readonly allowances: Readonly<
+    Partial<Record<RequestClass, readonly AllowanceWindow[]>>
+  >;
+}
