--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -78,7 +78,25 @@
     );
 }
 
-function registerDecisions(kernel: Kernel, settings: Settings): void {
+/** The settings that the deciding services need. */
+export type DecisionSettings = Pick<
+  Settings,
+  | "daemonId"
+  | "dataCentre"
+  | "peerAddress"
+  | "services"
+  | "permitDurationMs"
+  | "ownershipIntervalMs"
+>;
+
+/**
+ * Registers the services that decide. They reach their environment only
+ * through the host services, so they also run on virtual time.
+ */
+export function registerDecisions(
+  kernel: Kernel,
+  settings: DecisionSettings,
+): void {
   kernel
     .register(
       new DirectoryMembership({
--- a/src/services/membership/directory_membership.ts
+++ b/src/services/membership/directory_membership.ts
@@ -5,7 +5,7 @@
 import { ServiceName } from "../../kernel/service_name.ts";
 import { VmRole, VmState } from "../../types/enums.ts";
 import type { DaemonId, DaemonInfo, VmRecord } from "../../types/types.ts";
-import { Membership } from "./membership.ts";
+import { type Announcement, Membership } from "./membership.ts";
 
 /** Takes the platform's list at its word. */
 export class DirectoryMembership extends Membership {
@@ -14,7 +14,9 @@
   #isDraining = false;
   #records: readonly VmRecord[] = [];
   #unsubscribe: () => void = () => {};
+  readonly #announcements = new EventSource<Announcement>();
   override readonly changes = this.#changes.stream;
+  override readonly announcements = this.#announcements.stream;
 
   constructor(identity: Omit<DaemonInfo, "isDraining">) {
     super();
@@ -67,4 +69,8 @@
     this.#isDraining = true;
     this.#changes.publish(this.daemons());
   }
+
+  override announce(announcement: Announcement): void {
+    this.#announcements.publish(announcement);
+  }
 }
--- a/src/services/membership/membership.ts
+++ b/src/services/membership/membership.ts
@@ -4,6 +4,17 @@
 import { ServiceName } from "../../kernel/service_name.ts";
 import type { DaemonId, DaemonInfo } from "../../types/types.ts";
 
+/** Subjects whose newest version every daemon should learn soon. */
+export enum AnnouncementTopic {
+  Lists = "lists",
+}
+
+/** The newest version of a topic that some daemon has seen. */
+export interface Announcement {
+  readonly topic: AnnouncementTopic;
+  readonly version: number;
+}
+
 /** The daemons this one believes to be running. */
 export abstract class Membership extends Service {
   override readonly name = ServiceName.Membership;
@@ -20,6 +31,15 @@
   /** Announces that this daemon is leaving. */
   abstract beginDraining(): void;
 
+  /**
+   * Spreads a version to every daemon. A hint only: receivers read what it
+   * announces from the platform and never take it as newer than it is.
+   */
+  abstract announce(announcement: Announcement): void;
+
+  /** Each announcement with a higher version than any before. */
+  abstract readonly announcements: Stream<Announcement>;
+
   /** The list of daemons after each change. */
   abstract readonly changes: Stream<readonly DaemonInfo[]>;
 }
--- /dev/null
+++ b/src/testing/fake_backend.ts
@@ -0,0 +1,385 @@
+/**
+ * Backend servers in memory, shared by the daemons of one test. Each keeps a
+ * log of the work it executed; the invariant checker reads those logs and
+ * never a daemon's account of itself.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { MessageCode } from "../diagnostics/messages.ts";
+import {
+  type BackendGrant,
+  type BackendReport,
+  BackendTransport,
+} from "../host/backend_transport.ts";
+import { AttemptOutcome } from "../types/enums.ts";
+import { RouterError } from "../types/errors.ts";
+import type {
+  AssignedServer,
+  KeyLocation,
+  RoutedRequest,
+  RoutedResponse,
+} from "../types/types.ts";
+import { FreezableClock } from "./freezable_clock.ts";
+import type { VirtualClock } from "./virtual_clock.ts";
+
+/** One executed request. */
+export interface FakeExecution {
+  readonly serverId: string;
+  readonly service: string;
+  readonly key: string;
+  readonly requestId: string;
+  readonly idempotencyKey: string | undefined;
+  readonly isIdempotent: boolean;
+  readonly fence: number;
+  readonly startedAtMs: number;
+  finishedAtMs: number;
+}
+
+/** How a fake backend server behaves; a test may change it at any time. */
+export interface FakeServerBehaviour {
+  isFenceChecked: boolean;
+  serviceTimeMs: number;
+  slotCount: number;
+  isDraining: boolean;
+  /** Refuses every request as not run. */
+  isShedding: boolean;
+  /** Runs the request, then loses the answer. */
+  losesAnswers: boolean;
+  isAlive: boolean;
+}
+
+interface HeldGrant {
+  readonly fence: number;
+  readonly expiresAtMs: number;
+}
+
+/** One backend server. */
+export class FakeBackendServer {
+  readonly serverId: string;
+  readonly clock: FreezableClock;
+  readonly behaviour: FakeServerBehaviour;
+  readonly grants = new Map<string, HeldGrant>();
+  readonly executions: FakeExecution[] = [];
+  readonly #waiting: (() => void)[] = [];
+  #busySlots = 0;
+
+  constructor(
+    serverId: string,
+    clock: FreezableClock,
+    behaviour: Partial<FakeServerBehaviour> = {},
+  ) {
+    this.serverId = serverId;
+    this.clock = clock;
+    this.behaviour = {
+      isFenceChecked: true,
+      serviceTimeMs: 2,
+      slotCount: 3,
+      isDraining: false,
+      isShedding: false,
+      losesAnswers: false,
+      isAlive: true,
+      ...behaviour,
+    };
+  }
+
+  /** Requests running now. */
+  busySlots(): number {
+    return this.#busySlots;
+  }
+
+  /** Requests waiting in the server's own FIFO queue. */
+  queuedCount(): number {
+    return this.#waiting.length;
+  }
+
+  /** Runs one request, or refuses it. */
+  async execute(
+    request: RoutedRequest,
+    location: KeyLocation,
+    startBeforeWallMs: number,
+  ): Promise<Result<RoutedResponse, RouterError>> {
+    await this.clock.gate();
+    await this.#takeSlot();
+    try {
+      const refusal = this.#refusalOf(request, location, startBeforeWallMs);
+      if (refusal !== undefined) return err(refusal);
+      const execution = this.#record(request, location);
+      await this.clock.sleep(this.behaviour.serviceTimeMs);
+      execution.finishedAtMs = this.clock.nowMs();
+      if (!this.behaviour.isAlive || this.behaviour.losesAnswers) {
+        return err(this.#createUnknown());
+      }
+      return ok(createAnswer(this.serverId, request));
+    } finally {
+      this.#busySlots -= 1;
+      this.#waiting.shift()?.();
+    }
+  }
+
+  /** Accepts a grant unless it holds a higher fence. */
+  accept(grant: BackendGrant): boolean {
+    const names = grantNames(grant);
+    const isStale = names.some((name) =>
+      (this.grants.get(name)?.fence ?? 0) > grant.fence
+    );
+    if (isStale) return false;
+    const expiresAtMs = this.clock.nowMs() + grant.grantDurationMs;
+    for (const name of names) {
+      this.grants.set(name, { fence: grant.fence, expiresAtMs });
+    }
+    return true;
+  }
+
+  /** Withdraws a grant. */
+  revoke(grant: BackendGrant): void {
+    for (const name of grantNames(grant)) {
+      this.grants.set(name, { fence: grant.fence, expiresAtMs: 0 });
+    }
+  }
+
+  #record(request: RoutedRequest, location: KeyLocation): FakeExecution {
+    const execution: FakeExecution = {
+      serverId: this.serverId,
+      service: request.service,
+      key: request.key,
+      requestId: request.requestId,
+      idempotencyKey: request.idempotencyKey,
+      isIdempotent: request.isIdempotent,
+      fence: location.fence,
+      startedAtMs: this.clock.nowMs(),
+      finishedAtMs: Number.POSITIVE_INFINITY,
+    };
+    this.executions.push(execution);
+    return execution;
+  }
+
+  async #takeSlot(): Promise<void> {
+    if (this.#busySlots >= this.behaviour.slotCount) {
+      await new Promise<void>((resolve) => this.#waiting.push(resolve));
+      await this.clock.gate();
+    }
+    this.#busySlots += 1;
+  }
+
+  #refusalOf(
+    request: RoutedRequest,
+    location: KeyLocation,
+    startBeforeWallMs: number,
+  ): RouterError | undefined {
+    if (this.behaviour.isShedding) return this.#createRefusal("shedding");
+    if (this.clock.wallTimeMs() > startBeforeWallMs) {
+      return this.#createRefusal("start-deadline");
+    }
+    if (!this.behaviour.isFenceChecked) return undefined;
+    const grant = this.grants.get(`${request.service}/key/${request.key}`) ??
+      this.grants.get(`${request.service}/shard/${location.shard}`);
+    const isHeld = grant !== undefined &&
+      this.clock.nowMs() <= grant.expiresAtMs &&
+      grant.fence === location.fence;
+    return isHeld ? undefined : this.#createRefusal("fence");
+  }
+
+  #createRefusal(detail: string): RouterError {
+    const code = detail === "fence"
+      ? MessageCode.FenceRefused
+      : MessageCode.BackendRefused;
+    return new RouterError(code, "send", {
+      peer: this.serverId,
+      detail,
+      outcome: AttemptOutcome.RefusedUnrun,
+    });
+  }
+
+  #createUnknown(): RouterError {
+    return new RouterError(MessageCode.OutcomeUnknown, "send", {
+      peer: this.serverId,
+      detail: "the answer was lost",
+      outcome: AttemptOutcome.Unknown,
+    });
+  }
+}
+
+function grantNames(grant: BackendGrant): string[] {
+  return [
+    ...grant.shards.map((shard) => `${grant.service}/shard/${shard}`),
+    ...grant.keys.map((key) => `${grant.service}/key/${key}`),
+  ];
+}
+
+function createAnswer(
+  serverId: string,
+  request: RoutedRequest,
+): RoutedResponse {
+  async function* body(): AsyncIterable<Uint8Array> {
+    yield Buffer.from(`${request.service}/${request.key}/${request.requestId}`);
+  }
+  return { status: 200, headers: { "skylark-server": serverId }, body: body() };
+}
+
+/** All backend servers of one test. */
+export class FakeBackendWorld {
+  readonly servers = new Map<string, FakeBackendServer>();
+  /** Links `daemonId>serverId` that are cut. */
+  readonly cutLinks = new Set<string>();
+  probeCount = 0;
+
+  /** Adds a server. */
+  addServer(
+    serverId: string,
+    shared: VirtualClock,
+    behaviour: Partial<FakeServerBehaviour> = {},
+  ): FakeBackendServer {
+    const clock = new FreezableClock(shared);
+    const server = new FakeBackendServer(serverId, clock, behaviour);
+    this.servers.set(serverId, server);
+    return server;
+  }
+
+  /** Everything that ran, in the order of its start. */
+  executions(): FakeExecution[] {
+    return [...this.servers.values()]
+      .flatMap((server) => server.executions)
+      .sort((a, b) => a.startedAtMs - b.startedAtMs);
+  }
+}
+
+/** One daemon's way to the backend servers. */
+export class FakeBackendTransport extends BackendTransport {
+  readonly #world: FakeBackendWorld;
+  readonly #daemonId: string;
+  readonly #clock: FreezableClock;
+
+  constructor(
+    world: FakeBackendWorld,
+    caller: { readonly daemonId: string; readonly clock: FreezableClock },
+  ) {
+    super();
+    this.#world = world;
+    this.#daemonId = caller.daemonId;
+    this.#clock = caller.clock;
+  }
+
+  override async send(
+    request: RoutedRequest,
+    location: KeyLocation,
+    options: {
+      readonly signal: AbortSignal;
+      readonly startBeforeWallMs: number;
+    },
+  ): Promise<Result<RoutedResponse, RouterError>> {
+    const server = this.#tryReach(location.server);
+    if (server === undefined) return err(this.#createUnreachable(location));
+    const cancelled = waitForAbort(options.signal).then(() =>
+      err(this.#createCancelled(location))
+    );
+    const result = await Promise.race([
+      server.execute(request, location, options.startBeforeWallMs),
+      cancelled,
+    ]);
+    await this.#clock.gate();
+    return result;
+  }
+
+  override async probe(
+    server: AssignedServer,
+    signal: AbortSignal,
+  ): Promise<Result<BackendReport, RouterError>> {
+    this.#world.probeCount += 1;
+    const reached = await this.#control(server, signal);
+    return reached.map((target) => ({
+      isHealthy: true,
+      isDraining: target.behaviour.isDraining,
+      isWarm: true,
+      busySlots: target.busySlots(),
+    }));
+  }
+
+  override async grant(
+    server: AssignedServer,
+    grant: BackendGrant,
+    signal: AbortSignal,
+  ): Promise<Result<void, RouterError>> {
+    const reached = await this.#control(server, signal);
+    if (reached.isErr()) return err(reached.error);
+    if (reached.value.accept(grant)) return ok(undefined);
+    return err(
+      new RouterError(MessageCode.FenceRefused, "grant", {
+        peer: server.serverId,
+        outcome: AttemptOutcome.RefusedUnrun,
+      }),
+    );
+  }
+
+  override async revoke(
+    server: AssignedServer,
+    grant: BackendGrant,
+    signal: AbortSignal,
+  ): Promise<Result<void, RouterError>> {
+    const reached = await this.#control(server, signal);
+    return reached.map((target) => target.revoke(grant));
+  }
+
+  override forget(_server: AssignedServer): Promise<void> {
+    return Promise.resolve();
+  }
+
+  /** Reaches a server for control; a frozen server answers nothing. */
+  async #control(
+    server: AssignedServer,
+    signal: AbortSignal,
+  ): Promise<Result<FakeBackendServer, RouterError>> {
+    const target = this.#tryReach(server);
+    await this.#clock.sleep(1, signal);
+    if (target === undefined || signal.aborted) {
+      return err(
+        new RouterError(MessageCode.BackendUnreachable, "control", {
+          peer: server.serverId,
+          outcome: AttemptOutcome.Unknown,
+        }),
+      );
+    }
+    const aborted = waitForAbort(signal).then(() => undefined);
+    const opened = target.clock.gate().then(() => target);
+    const reached = await Promise.race([opened, aborted]);
+    await this.#clock.gate();
+    if (reached !== undefined) return ok(reached);
+    return err(
+      new RouterError(MessageCode.BackendUnreachable, "control", {
+        peer: server.serverId,
+        detail: "timed out",
+        outcome: AttemptOutcome.Unknown,
+      }),
+    );
+  }
+
+  #tryReach(server: AssignedServer): FakeBackendServer | undefined {
+    const target = this.#world.servers.get(server.serverId);
+    if (target === undefined || !target.behaviour.isAlive) return undefined;
+    const isCut = this.#world.cutLinks.has(
+      `${this.#daemonId}>${server.serverId}`,
+    );
+    return isCut ? undefined : target;
+  }
+
+  #createUnreachable(location: KeyLocation): RouterError {
+    return new RouterError(MessageCode.BackendUnreachable, "send", {
+      peer: location.server.serverId,
+      detail: "connection refused",
+      outcome: AttemptOutcome.NotSent,
+    });
+  }
+
+  #createCancelled(location: KeyLocation): RouterError {
+    return new RouterError(MessageCode.OutcomeUnknown, "send", {
+      peer: location.server.serverId,
+      detail: "cancelled",
+      outcome: AttemptOutcome.Unknown,
+    });
+  }
+}
+
+function waitForAbort(signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal.aborted) return resolve();
+    signal.addEventListener("abort", () => resolve(), { once: true });
+  });
+}
--- /dev/null
+++ b/src/testing/fake_platform.ts
@@ -0,0 +1,163 @@
+/**
+ * The platform in memory, as each daemon of a test reaches it, with faults to
+ * order: down, slow, answers lost after the write, a lagging list of VMs.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { PlatformState } from "../../standins/platform_state.ts";
+import { MessageCode } from "../diagnostics/messages.ts";
+import { ObjectStore } from "../host/object_store.ts";
+import {
+  PlatformTable,
+  type TableRow,
+  type TableWrite,
+  type WriteResult,
+} from "../host/platform_table.ts";
+import { VmDirectory } from "../host/vm_directory.ts";
+import { EventSource } from "../streams/event_source.ts";
+import { AttemptOutcome } from "../types/enums.ts";
+import { RouterError } from "../types/errors.ts";
+import type { VmRecord } from "../types/types.ts";
+import type { FreezableClock } from "./freezable_clock.ts";
+
+/** What the platform does wrong. */
+export interface FakePlatformFault {
+  readonly isDown: boolean;
+  readonly delayMs: number;
+  readonly losesWriteAnswers: boolean;
+}
+
+const timeoutMs = 1_000;
+
+/** The shared platform of one test. */
+export class FakePlatform {
+  readonly state = new PlatformState();
+  /** Applies to every daemon. */
+  fault: FakePlatformFault = {
+    isDown: false,
+    delayMs: 0,
+    losesWriteAnswers: false,
+  };
+  /** Daemons that cannot reach the platform. */
+  readonly cutOff = new Set<string>();
+  readCount = 0;
+  writeCount = 0;
+}
+
+/** Runs one call under the faults, with the timing of the calling daemon. */
+async function runCall<T>(
+  platform: FakePlatform,
+  caller: FakePlatformCaller,
+  action: () => T,
+  isWrite: boolean,
+): Promise<Result<T, RouterError>> {
+  const fault = platform.fault;
+  if (fault.isDown || platform.cutOff.has(caller.daemonId)) {
+    await caller.clock.sleep(timeoutMs);
+    return err(createPlatformError(AttemptOutcome.NotSent));
+  }
+  await caller.clock.sleep(Math.min(fault.delayMs, timeoutMs));
+  await caller.clock.gate();
+  const value = action();
+  if (fault.delayMs >= timeoutMs || (isWrite && fault.losesWriteAnswers)) {
+    return err(createPlatformError(AttemptOutcome.Unknown));
+  }
+  await caller.clock.gate();
+  return ok(value);
+}
+
+function createPlatformError(outcome: AttemptOutcome): RouterError {
+  const code = outcome === AttemptOutcome.Unknown
+    ? MessageCode.PlatformAnswerLost
+    : MessageCode.PlatformUnavailable;
+  return new RouterError(code, "call platform", { peer: "platform", outcome });
+}
+
+/** Which daemon calls, and its clock. */
+export interface FakePlatformCaller {
+  readonly daemonId: string;
+  readonly clock: FreezableClock;
+}
+
+/** One daemon's access to the table. */
+export class FakePlatformTable extends PlatformTable {
+  readonly #platform: FakePlatform;
+  readonly #caller: FakePlatformCaller;
+
+  constructor(platform: FakePlatform, caller: FakePlatformCaller) {
+    super();
+    this.#platform = platform;
+    this.#caller = caller;
+  }
+
+  override read(
+    key: string,
+  ): Promise<Result<TableRow | undefined, RouterError>> {
+    this.#platform.readCount += 1;
+    return this.#run(() => this.#platform.state.read(key), false);
+  }
+
+  override list(prefix: string): Promise<Result<TableRow[], RouterError>> {
+    this.#platform.readCount += 1;
+    return this.#run(() => this.#platform.state.list(prefix), false);
+  }
+
+  override commit(
+    writes: readonly TableWrite[],
+  ): Promise<Result<WriteResult, RouterError>> {
+    this.#platform.writeCount += 1;
+    return this.#run(() => this.#platform.state.commit(writes), true);
+  }
+
+  #run<T>(
+    action: () => T,
+    isWrite: boolean,
+  ): Promise<Result<T, RouterError>> {
+    return runCall(this.#platform, this.#caller, action, isWrite);
+  }
+}
+
+/** One daemon's access to the object store. */
+export class FakeObjectStore extends ObjectStore {
+  readonly #platform: FakePlatform;
+  readonly #caller: FakePlatformCaller;
+
+  constructor(platform: FakePlatform, caller: FakePlatformCaller) {
+    super();
+    this.#platform = platform;
+    this.#caller = caller;
+  }
+
+  override getObject(
+    name: string,
+  ): Promise<Result<string | undefined, RouterError>> {
+    const { state } = this.#platform;
+    const read = () => state.getObject(name);
+    return runCall(this.#platform, this.#caller, read, false);
+  }
+
+  override putObject(
+    name: string,
+    content: string,
+  ): Promise<Result<void, RouterError>> {
+    const { state } = this.#platform;
+    const write = () => state.putObject(name, content);
+    return runCall(this.#platform, this.#caller, write, true);
+  }
+}
+
+/** The list of VMs, which a test publishes when it likes. */
+export class FakeVmDirectory extends VmDirectory {
+  readonly #changes = new EventSource<readonly VmRecord[]>();
+  #records: readonly VmRecord[] = [];
+  override readonly changes = this.#changes.stream;
+
+  override current(): readonly VmRecord[] {
+    return this.#records;
+  }
+
+  /** Shows this daemon a new list. */
+  publish(records: readonly VmRecord[]): void {
+    this.#records = records;
+    this.#changes.publish(records);
+  }
+}
--- /dev/null
+++ b/src/testing/test_fleet.ts
@@ -0,0 +1,273 @@
+/**
+ * Whole daemons in one process on virtual time: the real services over the
+ * fakes of this folder. Not a simulator: tests order each fault themselves.
+ */
+import type { Result } from "neverthrow";
+import {
+  type DecisionSettings,
+  registerDecisions,
+} from "../daemon/create_daemon.ts";
+import { SeededRandomSource } from "../host/random_source.ts";
+import { Kernel } from "../kernel/kernel.ts";
+import { ServiceName } from "../kernel/service_name.ts";
+import { Log } from "../services/log/log.ts";
+import { StatsdMetrics } from "../services/metrics/statsd_metrics.ts";
+import { FencingMode, RequestClass, VmRole, VmState } from "../types/enums.ts";
+import type { RouterError } from "../types/errors.ts";
+import type {
+  RoutedRequest,
+  RoutedResponse,
+  ServiceDefinition,
+  VmRecord,
+} from "../types/types.ts";
+import {
+  FakeBackendTransport,
+  FakeBackendWorld,
+  type FakeServerBehaviour,
+} from "./fake_backend.ts";
+import { FakePeerNetwork, FakePeerTransport } from "./fake_peers.ts";
+import {
+  FakeObjectStore,
+  FakePlatform,
+  FakePlatformTable,
+  FakeVmDirectory,
+} from "./fake_platform.ts";
+import { FreezableClock } from "./freezable_clock.ts";
+import { VirtualClock } from "./virtual_clock.ts";
+
+/** Keeps log lines for assertions. */
+export class MemoryLog extends Log {
+  readonly lines: string[] = [];
+
+  override info(message: string): void {
+    this.lines.push(message);
+  }
+
+  override warn(message: string): void {
+    this.lines.push(message);
+  }
+
+  override error(message: string): void {
+    this.lines.push(message);
+  }
+}
+
+/** One daemon of a test fleet. */
+export interface TestDaemon {
+  readonly daemonId: string;
+  readonly address: string;
+  readonly clock: FreezableClock;
+  readonly kernel: Kernel;
+  readonly log: MemoryLog;
+  readonly directory: FakeVmDirectory;
+}
+
+/** The shape of a test fleet. */
+export interface TestFleetOptions {
+  readonly seed: number;
+  readonly daemonCount: number;
+  readonly serverCount: number;
+  readonly definition?: Partial<ServiceDefinition>;
+  readonly serverBehaviour?: Partial<FakeServerBehaviour>;
+  readonly settings?: Partial<DecisionSettings>;
+}
+
+/** The name of the one service of a test fleet. */
+export const testServiceName = "roster";
+
+const dataCentres = ["dc-a", "dc-b", "dc-c"];
+const settleMs = 3_000;
+
+/** Daemons, backend servers and a platform in one process. */
+export class TestFleet {
+  readonly clock = new VirtualClock();
+  readonly platform = new FakePlatform();
+  readonly network = new FakePeerNetwork();
+  readonly backends = new FakeBackendWorld();
+  readonly daemons: TestDaemon[] = [];
+  readonly definition: ServiceDefinition;
+  readonly #options: TestFleetOptions;
+  #requestCount = 0;
+  #daemonCount = 0;
+
+  constructor(options: TestFleetOptions) {
+    this.#options = options;
+    this.definition = {
+      name: testServiceName,
+      requestClass: RequestClass.LiveRead,
+      shardCount: 32,
+      fencingMode: FencingMode.Checked,
+      slotsPerServer: 3,
+      connectionsPerServer: 50,
+      churnWeight: 1,
+      ...options.definition,
+    };
+  }
+
+  /** Starts everything and lets the first assignment take effect. */
+  async start(): Promise<void> {
+    for (let index = 0; index < this.#options.serverCount; index++) {
+      this.addServer();
+    }
+    for (let index = 0; index < this.#options.daemonCount; index++) {
+      await this.addDaemon();
+    }
+    await this.clock.advance(settleMs);
+  }
+
+  /** Adds a backend server and shows it in every list of VMs. */
+  addServer(): string {
+    const index = this.backends.servers.size;
+    const serverId = `server-${index}`;
+    this.backends.addServer(serverId, this.clock, {
+      isFenceChecked: this.definition.fencingMode === FencingMode.Checked,
+      slotCount: this.definition.slotsPerServer,
+      ...this.#options.serverBehaviour,
+    });
+    this.putVm({
+      vmId: serverId,
+      role: VmRole.BackendServer,
+      state: VmState.Live,
+      address: serverId,
+      dataCentre: dataCentres[index % dataCentres.length]!,
+      service: this.definition.name,
+    });
+    return serverId;
+  }
+
+  /** Starts one more daemon. */
+  async addDaemon(): Promise<TestDaemon> {
+    const index = this.#daemonCount++;
+    const daemonId = `daemon-${String(index).padStart(3, "0")}`;
+    const dataCentre = dataCentres[index % dataCentres.length]!;
+    const daemon = this.#createDaemon(daemonId, { index, dataCentre });
+    this.daemons.push(daemon);
+    this.putVm({
+      vmId: daemonId,
+      role: VmRole.Daemon,
+      state: VmState.Live,
+      address: daemon.address,
+      dataCentre,
+    });
+    const started = daemon.kernel.start();
+    let isStarted = false;
+    started.then(() => isStarted = true, () => isStarted = true);
+    while (!isStarted) await this.clock.advance(1);
+    await started;
+    this.network.attach(daemon.address, daemon.kernel);
+    return daemon;
+  }
+
+  /** Shows a VM in every daemon's list. */
+  putVm(vm: VmRecord): void {
+    this.platform.state.putVm(vm);
+    this.publishVms();
+  }
+
+  /** Removes a VM from every daemon's list. */
+  removeVm(vmId: string): void {
+    this.platform.state.removeVm(vmId);
+    this.publishVms();
+  }
+
+  /** Shows the present list of VMs to every daemon. */
+  publishVms(): void {
+    for (const daemon of this.daemons) {
+      daemon.directory.publish(this.platform.state.vms());
+    }
+  }
+
+  /** Kills a daemon: it stops at once and its peers find nothing. */
+  kill(daemon: TestDaemon): void {
+    daemon.clock.freeze();
+    this.network.kill(daemon.address);
+    this.daemons.splice(this.daemons.indexOf(daemon), 1);
+  }
+
+  /** Stops every daemon. */
+  async stop(): Promise<void> {
+    this.network.healAll();
+    const stopped = Promise.all(this.daemons.map((d) => d.kernel.stop()));
+    let isStopped = false;
+    stopped.then(() => isStopped = true, () => isStopped = true);
+    while (!isStopped) await this.clock.advance(50);
+    await stopped;
+  }
+
+  /** Builds a request; unset parts get defaults. */
+  createRequest(parts: Partial<RoutedRequest> = {}): RoutedRequest {
+    return {
+      requestId: `request-${this.#requestCount++}`,
+      customer: "customer",
+      service: this.definition.name,
+      key: "key",
+      requestClass: this.definition.requestClass,
+      isIdempotent: true,
+      idempotencyKey: undefined,
+      method: "GET",
+      path: "/",
+      headers: {},
+      body: new Uint8Array(),
+      deadlineAtMs: this.clock.nowMs() + 5_000,
+      ...parts,
+    };
+  }
+
+  /** Delivers a request through one daemon; the caller advances the clock. */
+  deliver(
+    daemon: TestDaemon,
+    request: RoutedRequest,
+    signal: AbortSignal = new AbortController().signal,
+  ): Promise<Result<RoutedResponse, RouterError>> {
+    return daemon.kernel.get(ServiceName.Delivery).deliver(request, signal);
+  }
+
+  #createDaemon(
+    daemonId: string,
+    { index, dataCentre }: { index: number; dataCentre: string },
+  ): TestDaemon {
+    const clock = new FreezableClock(this.clock);
+    const caller = { daemonId, clock };
+    const directory = new FakeVmDirectory();
+    const log = new MemoryLog();
+    const address = `${daemonId}:1`;
+    const kernel = new Kernel()
+      .register(clock)
+      .register(new SeededRandomSource(this.#options.seed * 1_000 + index))
+      .register(log)
+      .register(new StatsdMetrics({ address: undefined, daemonId }))
+      .register(new FakePlatformTable(this.platform, caller))
+      .register(new FakeObjectStore(this.platform, caller))
+      .register(directory)
+      .register(this.network.addNode(address, clock))
+      .register(new FakePeerTransport(this.network, address))
+      .register(new FakeBackendTransport(this.backends, caller));
+    registerDecisions(kernel, {
+      daemonId,
+      peerAddress: address,
+      dataCentre,
+      services: [this.definition],
+      permitDurationMs: 1_800,
+      ownershipIntervalMs: 300,
+      ...this.#options.settings,
+    });
+    return { daemonId, address, clock, kernel, log, directory };
+  }
+}
+
+/** Advances the clock until the promise settles, at most `limitMs`. */
+export async function settleWithin<T>(
+  clock: VirtualClock,
+  promise: Promise<T>,
+  limitMs: number,
+): Promise<T> {
+  const stepMs = 5;
+  let isSettled = false;
+  promise.then(() => isSettled = true, () => isSettled = true);
+  for (let elapsedMs = 0; elapsedMs < limitMs; elapsedMs += stepMs) {
+    if (isSettled) break;
+    await clock.advance(stepMs);
+  }
+  if (!isSettled) throw new Error(`not settled within ${limitMs} ms`);
+  return await promise;
+}
--- /dev/null
+++ b/src/testing/test_fleet_test.ts
@@ -0,0 +1,25 @@
+import * as assert from "uvu/assert";
+import { describe, it } from "./describe.ts";
+import { settleWithin, TestFleet } from "./test_fleet.ts";
+
+describe("TestFleet", () => {
+  describe("delivery through every daemon", () => {
+    it("runs each request once, on the owner of its key", async () => {
+      const fleet = new TestFleet({ seed: 1, daemonCount: 3, serverCount: 3 });
+      await fleet.start();
+      for (const daemon of fleet.daemons) {
+        const request = fleet.createRequest({ key: "farm-7" });
+        const result = await settleWithin(
+          fleet.clock,
+          fleet.deliver(daemon, request),
+          5_000,
+        );
+        assert.ok(result.isOk(), result.isErr() ? result.error.message : "");
+      }
+      const executions = fleet.backends.executions();
+      assert.is(executions.length, 3);
+      assert.is(new Set(executions.map((e) => e.serverId)).size, 1);
+      await fleet.stop();
+    });
+  });
+});
