--- a/scripts/run_tests.ts
+++ b/scripts/run_tests.ts
@@ -4,7 +4,7 @@
  * test ran.
  */
 import { spawn } from "node:child_process";
-import { readdirSync } from "node:fs";
+import { existsSync, readdirSync } from "node:fs";
 import { join } from "node:path";
 
 const roots = ["src", "standins", "bench", "scripts"];
@@ -13,6 +13,7 @@
 /** Lists the test files below the roots, ordered by path. */
 function listTestFiles(filter: string | undefined): string[] {
   return roots
+    .filter((root) => existsSync(root))
     .flatMap((root) =>
       readdirSync(root, { recursive: true, encoding: "utf8" })
         .map((file) => join(root, file))
