--- /dev/null
+++ b/src/proof/caller_load.ts
@@ -0,0 +1,157 @@
+/**
+ * Callers of a test fleet: confirmations that are repeated through another
+ * daemon until they are answered, and reads. Each attempt's answer is kept,
+ * so that it can be compared with what the backend servers really ran.
+ */
+import { SeededRandomSource } from "../host/random_source.ts";
+import { AttemptOutcome } from "../types/enums.ts";
+import type { RoutedRequest } from "../types/types.ts";
+import type { TestFleet } from "../testing/test_fleet.ts";
+
+/** One attempt as its caller saw it. */
+export interface CallerAttempt {
+  readonly requestId: string;
+  readonly idempotencyKey: string | undefined;
+  readonly key: string;
+  readonly startedAtMs: number;
+  readonly finishedAtMs: number;
+  readonly outcome: AttemptOutcome;
+  /** The answer's body; undefined unless the outcome is `Answered`. */
+  readonly body: string | undefined;
+  readonly error: string | undefined;
+}
+
+/** What the callers do. */
+export interface CallerLoadOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly intervalMs: number;
+  readonly keyCount: number;
+  readonly repeatCount: number;
+  readonly deadlineMs: number;
+}
+
+/** Runs callers at a fixed interval; resolves with every attempt. */
+export async function runCallerLoad(
+  fleet: TestFleet,
+  options: CallerLoadOptions,
+): Promise<CallerAttempt[]> {
+  const random = new SeededRandomSource(options.seed);
+  const attempts: CallerAttempt[] = [];
+  const callers: Promise<void>[] = [];
+  const callerCount = Math.floor(options.durationMs / options.intervalMs);
+  for (let index = 0; index < callerCount; index++) {
+    await fleet.clock.sleep(options.intervalMs);
+    const key = `key-${random.nextInt(options.keyCount)}`;
+    const daemonIndex = random.nextInt(fleet.daemons.length);
+    const isConfirmation = index % 2 === 0;
+    callers.push(
+      isConfirmation
+        ? confirm(fleet, options, { key, daemonIndex, index, attempts })
+        : read(fleet, options, { key, daemonIndex, index, attempts }),
+    );
+  }
+  await Promise.all(callers);
+  return attempts;
+}
+
+interface CallerState {
+  readonly key: string;
+  readonly daemonIndex: number;
+  readonly index: number;
+  readonly attempts: CallerAttempt[];
+}
+
+/** Repeats a confirmation until it is answered, each time elsewhere. */
+async function confirm(
+  fleet: TestFleet,
+  options: CallerLoadOptions,
+  caller: CallerState,
+): Promise<void> {
+  for (let repeat = 0; repeat <= options.repeatCount; repeat++) {
+    const request = fleet.createRequest({
+      key: caller.key,
+      method: "POST",
+      isIdempotent: false,
+      idempotencyKey: `confirmation-${caller.index}`,
+      deadlineAtMs: fleet.clock.nowMs() + options.deadlineMs,
+    });
+    const attempt = await send(fleet, request, caller.daemonIndex + repeat);
+    caller.attempts.push(attempt);
+    if (attempt.outcome === AttemptOutcome.Answered) return;
+  }
+}
+
+async function read(
+  fleet: TestFleet,
+  options: CallerLoadOptions,
+  caller: CallerState,
+): Promise<void> {
+  const request = fleet.createRequest({
+    key: caller.key,
+    deadlineAtMs: fleet.clock.nowMs() + options.deadlineMs,
+  });
+  caller.attempts.push(await send(fleet, request, caller.daemonIndex));
+}
+
+/** Sends one request; gives up waiting a little after its deadline. */
+async function send(
+  fleet: TestFleet,
+  request: RoutedRequest,
+  daemonIndex: number,
+): Promise<CallerAttempt> {
+  const daemon = fleet.daemons[daemonIndex % fleet.daemons.length]!;
+  const startedAtMs = fleet.clock.nowMs();
+  const gaveUp = new AbortController();
+  const patience = fleet.clock.sleep(
+    request.deadlineAtMs - startedAtMs + patienceMs,
+    gaveUp.signal,
+  ).then(() => undefined);
+  const answer = receive(fleet, request, { daemon, signal: gaveUp.signal });
+  const received = await Promise.race([answer, patience]);
+  gaveUp.abort();
+  return {
+    requestId: request.requestId,
+    idempotencyKey: request.idempotencyKey,
+    key: request.key,
+    startedAtMs,
+    finishedAtMs: fleet.clock.nowMs(),
+    ...(received ?? unanswered),
+  };
+}
+
+const patienceMs = 500;
+const unanswered = {
+  outcome: AttemptOutcome.Unknown,
+  body: undefined,
+  error: "the caller gave up",
+};
+
+async function receive(
+  fleet: TestFleet,
+  request: RoutedRequest,
+  options: {
+    readonly daemon: TestFleet["daemons"][number];
+    readonly signal: AbortSignal;
+  },
+): Promise<Pick<CallerAttempt, "outcome" | "body" | "error">> {
+  const { daemon, signal } = options;
+  const result = await fleet.deliver(daemon, request, signal);
+  // A caller hears nothing from a daemon that is frozen or dead.
+  await daemon.clock.gate();
+  if (result.isErr()) {
+    const { outcome, message } = result.error;
+    return { outcome, body: undefined, error: message };
+  }
+  let body = "";
+  try {
+    for await (const chunk of result.value.body) body += String(chunk);
+  } catch (error) {
+    return {
+      outcome: AttemptOutcome.Unknown,
+      body: undefined,
+      error: String(error),
+    };
+  }
+  return { outcome: AttemptOutcome.Answered, body, error: undefined };
+}
--- /dev/null
+++ b/src/proof/fault_injector.ts
@@ -0,0 +1,166 @@
+/** Carries out a fault schedule on a test fleet, one task for each fault. */
+import { VmRole, VmState } from "../types/enums.ts";
+import { assertNever } from "../types/errors.ts";
+import type { FakeBackendServer } from "../testing/fake_backend.ts";
+import type { TestDaemon, TestFleet } from "../testing/test_fleet.ts";
+import { type Fault, FaultKind } from "./fault_schedule.ts";
+
+/** Fewest daemons that a schedule leaves running. */
+const minDaemonCount = 3;
+/** Fewest backend servers that a schedule leaves running. */
+const minServerCount = 2;
+
+/** Starts every fault of the schedule at its time; resolves when all ended. */
+export async function injectFaults(
+  fleet: TestFleet,
+  faults: readonly Fault[],
+): Promise<void> {
+  await Promise.all(faults.map((fault) => injectFault(fleet, fault)));
+}
+
+async function injectFault(fleet: TestFleet, fault: Fault): Promise<void> {
+  await fleet.clock.sleep(fault.startsAtMs);
+  const end = await beginFault(fleet, fault);
+  await fleet.clock.sleep(fault.durationMs);
+  end();
+}
+
+type EndFault = () => void;
+
+/** Begins a fault and returns the way to end it. */
+async function beginFault(
+  fleet: TestFleet,
+  fault: Fault,
+): Promise<EndFault> {
+  switch (fault.kind) {
+    case FaultKind.KillServer:
+      return killServer(fleet, fault);
+    case FaultKind.FreezeServer:
+      return freeze(pick(aliveServers(fleet), fault.targetIndex));
+    case FaultKind.DrainServer:
+      return drainServer(fleet, fault);
+    case FaultKind.AddServer:
+      fleet.addServer();
+      return endNothing;
+    case FaultKind.ServerLosesAnswers:
+    case FaultKind.ServerSheds:
+      return misbehave(fleet, fault);
+    case FaultKind.KillDaemon:
+      return killDaemon(fleet, fault);
+    case FaultKind.FreezeDaemon:
+      return freeze(pick(fleet.daemons, fault.targetIndex));
+    case FaultKind.AddDaemon:
+      await fleet.startDaemon();
+      return endNothing;
+    case FaultKind.CutDaemonLink:
+    case FaultKind.CutDaemonFromStore:
+    case FaultKind.CutDaemonFromServer:
+      return cut(fleet, fault);
+    case FaultKind.StoreDown:
+    case FaultKind.StoreSlow:
+    case FaultKind.StoreLosesAnswers:
+      return breakStore(fleet, fault.kind);
+    default:
+      return assertNever(fault.kind);
+  }
+}
+
+function endNothing(): void {}
+
+function pick<T>(items: readonly T[], index: number): T {
+  return items[index % items.length]!;
+}
+
+function aliveServers(fleet: TestFleet): FakeBackendServer[] {
+  return [...fleet.backends.servers.values()]
+    .filter((server) => server.behaviour.isAlive)
+    .filter((server) => !server.behaviour.isDraining);
+}
+
+function freeze(
+  target: { readonly clock: { freeze(): void; thaw(): void } },
+): EndFault {
+  target.clock.freeze();
+  return () => target.clock.thaw();
+}
+
+function killServer(fleet: TestFleet, fault: Fault): EndFault {
+  const alive = aliveServers(fleet);
+  if (alive.length <= minServerCount) return endNothing;
+  pick(alive, fault.targetIndex).behaviour.isAlive = false;
+  return endNothing;
+}
+
+function drainServer(fleet: TestFleet, fault: Fault): EndFault {
+  const alive = aliveServers(fleet);
+  if (alive.length <= minServerCount) return endNothing;
+  const server = pick(alive, fault.targetIndex);
+  server.behaviour.isDraining = true;
+  fleet.putVm({
+    vmId: server.serverId,
+    role: VmRole.BackendServer,
+    state: VmState.Leaving,
+    address: server.serverId,
+    dataCentre: "dc-a",
+    service: fleet.definition.name,
+  });
+  return endNothing;
+}
+
+function misbehave(fleet: TestFleet, fault: Fault): EndFault {
+  const { behaviour } = pick(aliveServers(fleet), fault.targetIndex);
+  if (fault.kind === FaultKind.ServerSheds) {
+    behaviour.isShedding = true;
+    return () => behaviour.isShedding = false;
+  }
+  behaviour.losesAnswers = true;
+  return () => behaviour.losesAnswers = false;
+}
+
+function killDaemon(fleet: TestFleet, fault: Fault): EndFault {
+  if (fleet.daemons.length <= minDaemonCount) return endNothing;
+  const daemon = pick(fleet.daemons, fault.targetIndex);
+  fleet.kill(daemon);
+  return () => fleet.removeVm(daemon.daemonId);
+}
+
+function cut(fleet: TestFleet, fault: Fault): EndFault {
+  const daemon = pick(fleet.daemons, fault.targetIndex);
+  switch (fault.kind) {
+    case FaultKind.CutDaemonLink:
+      return cutLink(fleet, daemon, pick(fleet.daemons, fault.otherIndex));
+    case FaultKind.CutDaemonFromStore:
+      return addTo(fleet.platform.cutOff, daemon.daemonId);
+    default: {
+      const server = pick(aliveServers(fleet), fault.otherIndex);
+      const link = `${daemon.daemonId}>${server.serverId}`;
+      return addTo(fleet.backends.cutLinks, link);
+    }
+  }
+}
+
+function cutLink(
+  fleet: TestFleet,
+  daemon: TestDaemon,
+  other: TestDaemon,
+): EndFault {
+  fleet.network.cut(daemon.address, other.address);
+  return () => fleet.network.heal(daemon.address, other.address);
+}
+
+function addTo(set: Set<string>, member: string): EndFault {
+  set.add(member);
+  return () => set.delete(member);
+}
+
+function breakStore(fleet: TestFleet, kind: FaultKind): EndFault {
+  const healthy = { isDown: false, delayMs: 0, losesWriteAnswers: false };
+  fleet.platform.fault = {
+    isDown: kind === FaultKind.StoreDown,
+    delayMs: kind === FaultKind.StoreSlow ? 400 : 0,
+    losesWriteAnswers: kind === FaultKind.StoreLosesAnswers,
+  };
+  return () => {
+    fleet.platform.fault = healthy;
+  };
+}
--- a/src/testing/fake_peers.ts
+++ b/src/testing/fake_peers.ts
@@ -73,6 +73,12 @@
     this.#cutLinks.add(`${from}>${to}`).add(`${to}>${from}`);
   }
 
+  /** Restores the link between two daemons. */
+  heal(from: string, to: string): void {
+    this.#cutLinks.delete(`${from}>${to}`);
+    this.#cutLinks.delete(`${to}>${from}`);
+  }
+
   /** Restores every link. */
   healAll(): void {
     this.#cutLinks.clear();
--- a/src/testing/test_fleet.ts
+++ b/src/testing/test_fleet.ts
@@ -135,8 +135,17 @@
     return serverId;
   }
 
-  /** Starts one more daemon. */
+  /** Starts one more daemon, moving the clock until it runs. */
   async addDaemon(): Promise<TestDaemon> {
+    const starting = this.startDaemon();
+    let isStarted = false;
+    starting.then(() => isStarted = true, () => isStarted = true);
+    while (!isStarted) await this.clock.advance(1);
+    return await starting;
+  }
+
+  /** Starts one more daemon while somebody else moves the clock. */
+  async startDaemon(): Promise<TestDaemon> {
     const index = this.#daemonCount++;
     const daemonId = `daemon-${String(index).padStart(3, "0")}`;
     const dataCentre = dataCentres[index % dataCentres.length]!;
@@ -149,11 +158,7 @@
       address: daemon.address,
       dataCentre,
     });
-    const started = daemon.kernel.start();
-    let isStarted = false;
-    started.then(() => isStarted = true, () => isStarted = true);
-    while (!isStarted) await this.clock.advance(1);
-    await started;
+    await daemon.kernel.start();
     this.network.attach(daemon.address, daemon.kernel);
     return daemon;
   }
