--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -14,10 +14,11 @@
 import { HttpEntry } from "../services/entry/http_entry.ts";
 import { SlotHome } from "../services/home/slot_home.ts";
 import { ConsolaLog } from "../services/log/consola_log.ts";
-import { DirectoryMembership } from "../services/membership/directory_membership.ts";
+import { SyncedMembership } from "../services/membership/synced_membership.ts";
 import { StatsdMetrics } from "../services/metrics/statsd_metrics.ts";
 import { ConnectOperator } from "../services/operator/connect_operator.ts";
-import { TableOwnership } from "../services/ownership/table_ownership.ts";
+import { CoordinatedOwnership } from "../services/ownership/coordinated_ownership.ts";
+import { LeastLoadedPlacement } from "../services/ownership/least_loaded_placement.ts";
 import { HttpPeerServer } from "../services/peers/http_peer_server.ts";
 import { HttpPeerTransport } from "../services/peers/http_peer_transport.ts";
 import type { Settings } from "./settings.ts";
@@ -82,10 +83,12 @@
 export type DecisionSettings = Pick<
   Settings,
   | "daemonId"
+  | "region"
   | "dataCentre"
   | "peerAddress"
   | "services"
   | "permitDurationMs"
+  | "leaseDurationMs"
   | "ownershipIntervalMs"
 >;
 
@@ -99,17 +102,20 @@
 ): void {
   kernel
     .register(
-      new DirectoryMembership({
+      new SyncedMembership({
         daemonId: settings.daemonId,
         address: settings.peerAddress,
         dataCentre: settings.dataCentre,
       }),
     )
     .register(
-      new TableOwnership({
+      new CoordinatedOwnership({
+        region: settings.region,
         definitions: settings.services,
-        pollIntervalMs: settings.ownershipIntervalMs,
+        placement: new LeastLoadedPlacement(),
+        syncIntervalMs: settings.ownershipIntervalMs,
         permitDurationMs: settings.permitDurationMs,
+        leaseDurationMs: settings.leaseDurationMs,
       }),
     )
     .register(new SlotHome())
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -36,6 +36,7 @@
 const settingsSchema = z.strictObject({
   daemonId: z.string().min(1),
   dataCentre: z.string().min(1),
+  region: z.string().regex(/^[a-z0-9-]+$/).default("region"),
   entryAddress: addressSchema,
   peerAddress: addressSchema,
   platformAddress: addressSchema,
@@ -46,6 +47,7 @@
   platformTimeoutMs: z.coerce.number().int().min(10).default(1_000),
   vmPollIntervalMs: z.coerce.number().int().min(50).default(1_000),
   permitDurationMs: z.coerce.number().int().min(200).default(1_800),
+  leaseDurationMs: z.coerce.number().int().min(100).default(1_000),
   ownershipIntervalMs: z.coerce.number().int().min(20).default(300),
   defaultDeadlineMs: z.coerce.number().int().min(1).default(10_000),
   requestTimeoutMs: z.coerce.number().int().min(100).default(10_000),
--- a/src/services/membership/membership.ts
+++ b/src/services/membership/membership.ts
@@ -37,6 +37,12 @@
    */
   abstract announce(announcement: Announcement): void;
 
+  /** The newest version of each topic that this daemon knows. */
+  abstract knownAnnouncements(): readonly Announcement[];
+
+  /** Takes over the members that the coordinator recorded. */
+  abstract learnMembers(members: readonly DaemonInfo[]): void;
+
   /** Each announcement with a higher version than any before. */
   abstract readonly announcements: Stream<Announcement>;
 
--- /dev/null
+++ b/src/services/ownership/control_options.ts
@@ -0,0 +1,36 @@
+/** Settings of the ownership service and the durations derived from them. */
+import type { ServiceDefinition } from "../../types/types.ts";
+import type { Placement } from "./placement.ts";
+
+/** Settings of the ownership service. */
+export interface ControlOptions {
+  readonly region: string;
+  readonly definitions: readonly ServiceDefinition[];
+  readonly placement: Placement;
+  /** Interval between two syncs of a daemon with its parent. */
+  readonly syncIntervalMs: number;
+  readonly permitDurationMs: number;
+  /** How long a lease row, or a majority's confirmation, counts. */
+  readonly leaseDurationMs: number;
+}
+
+/** Interval at which the coordinator looks for something to decide. */
+export const decisionIntervalMs = 100;
+/** Interval at which a daemon that may take over reads the lease row. */
+export const watchIntervalMs = 250;
+/** Time after which a call to a peer is given up. */
+export const callTimeoutMs = 400;
+/** Syncs that a daemon may miss before it counts as lost. */
+export const missedSyncLimit = 3;
+/** Time after which a silent daemon leaves the members. */
+export const memberForgetMs = 10_000;
+/** Time for the daemons of a new region to arrive before it is assigned. */
+export const firstAssignmentDelayMs = 600;
+/** Daemons, by rank among the members, that watch the lease row. */
+export const watcherCount = 3;
+/** Delay between the takeover attempts of two watchers. */
+export const watcherStaggerMs = 150;
+/** Interval between two plans for the sake of balance. */
+export const rebalanceIntervalMs = 1_000;
+/** Time that a stopping daemon waits for its servers to find a new home. */
+export const drainTimeoutMs = 5_000;
--- /dev/null
+++ b/src/services/ownership/control_state.ts
@@ -0,0 +1,132 @@
+/**
+ * What the tasks of the ownership service share: the assignments and the view
+ * that this daemon holds, its promise and permit, and its part as coordinator
+ * while it has one.
+ */
+import type { Clock } from "../../host/clock.ts";
+import type { PlatformTable } from "../../host/platform_table.ts";
+import type { RandomSource } from "../../host/random_source.ts";
+import type { VmDirectory } from "../../host/vm_directory.ts";
+import type { PeerTransport } from "../../host/peer_transport.ts";
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import type { DaemonId } from "../../types/types.ts";
+import type { Log } from "../log/log.ts";
+import type { Membership } from "../membership/membership.ts";
+import type { Metrics } from "../metrics/metrics.ts";
+import { AssignmentBook } from "./assignment_book.ts";
+import type { ControlOptions } from "./control_options.ts";
+import type { Coordinator } from "./coordinator.ts";
+import type { HashFunction } from "./key_hash.ts";
+import { MemberRecord } from "./member_record.ts";
+import { OwnPermit } from "./own_permit.ts";
+import type { InFlightSource } from "./ownership.ts";
+import { ReportRelay } from "./report_relay.ts";
+import type { CoordinatorView, ReleaseReport } from "./sync_messages.ts";
+import { WakeSignal } from "./wake_signal.ts";
+
+/** Shared by the tasks of one daemon. */
+export class ControlState {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly table: PlatformTable;
+  readonly directory: VmDirectory;
+  readonly transport: PeerTransport;
+  readonly membership: Membership;
+  readonly options: ControlOptions;
+  readonly hash: HashFunction;
+  readonly book = new AssignmentBook();
+  readonly record = new MemberRecord();
+  readonly relay = new ReportRelay();
+  readonly permit: OwnPermit;
+  /** Woken when there is something to report at once. */
+  readonly urgent = new WakeSignal();
+  /** Woken when there is something to decide at once. */
+  readonly decisions = new WakeSignal();
+  /** Local instant of the last answer that extended the permit. */
+  lastSyncAtMs = Number.NEGATIVE_INFINITY;
+  inFlightSource: InFlightSource | undefined;
+  #coordinator: Coordinator | undefined;
+
+  constructor(
+    services: ServiceLookup,
+    { options, hash }: {
+      readonly options: ControlOptions;
+      readonly hash: HashFunction;
+    },
+  ) {
+    this.clock = services.get(ServiceName.Clock);
+    this.random = services.get(ServiceName.Random);
+    this.log = services.get(ServiceName.Log);
+    this.metrics = services.get(ServiceName.Metrics);
+    this.table = services.get(ServiceName.PlatformTable);
+    this.directory = services.get(ServiceName.VmDirectory);
+    this.transport = services.get(ServiceName.PeerTransport);
+    this.membership = services.get(ServiceName.Membership);
+    this.options = options;
+    this.hash = hash;
+    this.permit = new OwnPermit(options.permitDurationMs);
+  }
+
+  selfId(): DaemonId {
+    return this.membership.self().daemonId;
+  }
+
+  /** This daemon's part as coordinator; undefined when it has none. */
+  tryGetCoordinator(): Coordinator | undefined {
+    return this.#coordinator;
+  }
+
+  /** Takes the part of coordinator; its permit is now its own authority. */
+  beginCoordinating(coordinator: Coordinator): void {
+    this.#coordinator = coordinator;
+    this.permit.clear();
+    this.log.info("became coordinator", { epoch: coordinator.epoch() });
+  }
+
+  /** Gives the part of coordinator up. */
+  stopCoordinating(cause: string): void {
+    const coordinator = this.#coordinator;
+    if (coordinator === undefined) return;
+    this.log.warn("stopped coordinating", {
+      epoch: coordinator.epoch(),
+      cause,
+    });
+    coordinator.authority.relinquish();
+    this.#coordinator = undefined;
+  }
+
+  /** Takes a view of the coordinator unless it is older. */
+  learnView(view: CoordinatorView): void {
+    const before = this.record.view();
+    if (this.record.learn(view)) {
+      this.log.info("coordinator changed", {
+        epoch: view.epoch,
+        holder: view.holderId,
+      });
+    }
+    if (this.record.view() === before) return;
+    this.membership.learnMembers(view.members);
+    if (!this.record.isHolder(this.selfId())) {
+      this.stopCoordinating("another daemon took the lease");
+    }
+  }
+
+  /** Local instant until which this daemon may send work to its servers. */
+  permitExpiresAtMs(): number {
+    const coordinator = this.#coordinator;
+    if (coordinator === undefined) return this.permit.expiresAtMs();
+    return coordinator.permitExpiresAtMs(this.clock.nowMs());
+  }
+
+  /** What this daemon has released of the rows that wait for it. */
+  ownReleases(): readonly ReleaseReport[] {
+    const daemonId = this.selfId();
+    return this.book.rows()
+      .filter((row) => row.pendingReleases.some((p) => p.daemonId === daemonId))
+      .filter((row) => this.inFlightSource?.isReleased(row) ?? true)
+      .map(({ service, version }) => ({ daemonId, service, version }));
+  }
+}
--- /dev/null
+++ b/src/services/ownership/coordinated_ownership.ts
@@ -0,0 +1,208 @@
+/**
+ * Ownership as a coordinator decides it: one daemon of the region holds a
+ * lease and commits assignments; the others learn them, and the right to send
+ * work, by syncing up a tree.
+ */
+import type { Stream } from "most";
+import { err, type Result } from "neverthrow";
+import { MessageCode } from "../../diagnostics/messages.ts";
+import { OwnershipService } from "../../gen/skylarkridge/v1/ownership_pb.ts";
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { RouterError } from "../../types/errors.ts";
+import type {
+  KeyLocation,
+  MoveRecord,
+  ServerId,
+  ServiceAssignment,
+  ServiceDefinition,
+} from "../../types/types.ts";
+import { EventSource } from "../../streams/event_source.ts";
+import { subscribe } from "../../streams/subscribe.ts";
+import { type ControlOptions, drainTimeoutMs } from "./control_options.ts";
+import { ControlState } from "./control_state.ts";
+import { computeShard, createHashFunction } from "./key_hash.ts";
+import { LeaseStore } from "./lease_store.ts";
+import { LeaseTask } from "./lease_task.ts";
+import {
+  type HomePermit,
+  type InFlightSource,
+  Ownership,
+  type ServerObservation,
+} from "./ownership.ts";
+import { isUrgentState } from "./server_states.ts";
+import {
+  decodeDaemon,
+  decodeSyncReport,
+  encodeSyncAnswer,
+} from "./sync_codec.ts";
+import { answerPromise, answerSync } from "./sync_handler.ts";
+import { runSyncTask } from "./sync_task.ts";
+
+const drainCheckIntervalMs = 50;
+
+/** Runs the control tasks and answers from what they hold. */
+export class CoordinatedOwnership extends Ownership {
+  readonly #options: ControlOptions;
+  readonly #changes = new EventSource<ServiceAssignment>();
+  readonly #stopping = new AbortController();
+  readonly #tasks: Promise<void>[] = [];
+  #state: ControlState | undefined;
+  #unsubscribe: () => void = () => {};
+  #inFlightSource: InFlightSource | undefined;
+  override readonly changes: Stream<ServiceAssignment> = this.#changes.stream;
+
+  constructor(options: ControlOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override get needs(): readonly ServiceName[] {
+    return [
+      ServiceName.Clock,
+      ServiceName.Random,
+      ServiceName.Log,
+      ServiceName.Metrics,
+      ServiceName.Membership,
+      ServiceName.PlatformTable,
+      ServiceName.VmDirectory,
+      ServiceName.PeerServer,
+      ServiceName.PeerTransport,
+    ];
+  }
+
+  override async start(services: ServiceLookup): Promise<void> {
+    const hash = await createHashFunction();
+    const state = new ControlState(services, { options: this.#options, hash });
+    state.inFlightSource = this.#inFlightSource;
+    this.#state = state;
+    this.#unsubscribe = subscribe(state.book.changes, (assignment) => {
+      this.#changes.publish(assignment);
+    });
+    registerHandlers(services, state);
+    const store = new LeaseStore(state);
+    const { signal } = this.#stopping;
+    this.#tasks.push(
+      runSyncTask(state, store, signal),
+      new LeaseTask(state, store).run(signal),
+    );
+  }
+
+  /** Waits until the servers homed here have other homes, or a time limit. */
+  override async drain(): Promise<void> {
+    const state = this.#state;
+    if (state === undefined) return;
+    state.membership.beginDraining();
+    state.urgent.set();
+    const endAtMs = state.clock.nowMs() + drainTimeoutMs;
+    while (state.clock.nowMs() < endAtMs && !isDrained(state)) {
+      await state.clock.sleep(drainCheckIntervalMs);
+    }
+  }
+
+  override async stop(): Promise<void> {
+    this.#stopping.abort();
+    await Promise.all(this.#tasks);
+    this.#unsubscribe();
+  }
+
+  override definitions(): readonly ServiceDefinition[] {
+    return this.#options.definitions;
+  }
+
+  override tryGetDefinition(service: string): ServiceDefinition | undefined {
+    return this.#options.definitions.find(({ name }) => name === service);
+  }
+
+  override locate(
+    service: string,
+    key: string,
+  ): Result<KeyLocation, RouterError> {
+    const definition = this.tryGetDefinition(service);
+    const state = this.#state;
+    if (definition === undefined || state === undefined) {
+      return err(
+        new RouterError(MessageCode.NoOwner, "locate", {
+          detail: `service ${service} is not configured here`,
+        }),
+      );
+    }
+    const shard = computeShard(state.hash, key, definition);
+    return state.book.locate(service, { key, shard });
+  }
+
+  override tryGetAssignment(service: string): ServiceAssignment | undefined {
+    return this.#state?.book.tryGet(service);
+  }
+
+  override waitForNewer(
+    service: string,
+    version: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const book = this.#state?.book;
+    return book?.waitForNewer(service, version, signal) ?? Promise.resolve();
+  }
+
+  override requestRefresh(_service: string): void {
+    this.#state?.urgent.set();
+  }
+
+  override tryGetPermit(serverId: ServerId): HomePermit | undefined {
+    const state = this.#state;
+    const server = state?.book.tryGetServer(serverId);
+    if (state === undefined || server === undefined) return undefined;
+    if (server.homeDaemonId !== state.selfId()) return undefined;
+    const expiresAtMs = state.permitExpiresAtMs();
+    if (state.clock.nowMs() >= expiresAtMs) return undefined;
+    return { serverId, homeFence: server.homeFence, expiresAtMs };
+  }
+
+  override setInFlightSource(source: InFlightSource): void {
+    this.#inFlightSource = source;
+    if (this.#state !== undefined) this.#state.inFlightSource = source;
+  }
+
+  override observe(observation: ServerObservation): void {
+    const state = this.#state;
+    if (state === undefined) return;
+    state.relay.observe({ observerId: state.selfId(), observation });
+    const assigned = state.book.tryGetServer(observation.serverId);
+    if (!isUrgentState(observation.state)) return;
+    if (assigned?.state === observation.state) return;
+    state.urgent.set();
+    state.decisions.set();
+  }
+
+  override history(): readonly MoveRecord[] {
+    return this.#state?.book.moves() ?? [];
+  }
+}
+
+function registerHandlers(services: ServiceLookup, state: ControlState): void {
+  services.get(ServiceName.PeerServer).addService(OwnershipService, {
+    sync: (request) =>
+      encodeSyncAnswer(answerSync(state, decodeSyncReport(request))),
+    promiseEpoch: ({ candidate, epoch }) => {
+      const answer = answerPromise(state, {
+        candidate: decodeDaemon(candidate),
+        epoch: Number(epoch),
+      });
+      return { ...answer, epoch: BigInt(answer.epoch) };
+    },
+  });
+}
+
+/** Whether nothing keeps this daemon from stopping. */
+function isDrained(state: ControlState): boolean {
+  const selfId = state.selfId();
+  const isAlone = state.membership.daemons().every((daemon) =>
+    daemon.daemonId === selfId || daemon.isDraining
+  );
+  if (isAlone) return true;
+  const isHome = state.book.rows().some((row) =>
+    row.servers.some(({ homeDaemonId }) => homeDaemonId === selfId) ||
+    row.pendingReleases.some(({ daemonId }) => daemonId === selfId)
+  );
+  return !isHome && state.tryGetCoordinator() === undefined;
+}
--- /dev/null
+++ b/src/services/ownership/coordinator.ts
@@ -0,0 +1,287 @@
+/**
+ * The part of coordinator, as one daemon holds it for one or more epochs: its
+ * authority, what it heard, the permits it gave, and the plan of every row.
+ * It decides only; `lease_store.ts` commits what it decides.
+ */
+import { VmRole, VmState } from "../../types/enums.ts";
+import type { DaemonId, DaemonInfo, ServerId } from "../../types/types.ts";
+import {
+  type AssignmentRow,
+  noHomeDaemonId,
+  type PendingRelease,
+} from "./assignment_codec.ts";
+import { Authority } from "./authority.ts";
+import {
+  firstAssignmentDelayMs,
+  memberForgetMs,
+  missedSyncLimit,
+  rebalanceIntervalMs,
+} from "./control_options.ts";
+import type { ControlState } from "./control_state.ts";
+import { FleetView } from "./fleet_view.ts";
+import { HomeChooser, type HomeLoads } from "./home_assignment.ts";
+import { planMoves } from "./move_planner.ts";
+import { PermitLedger } from "./permit_ledger.ts";
+import type { SyncReport } from "./sync_messages.ts";
+import { tryGetParent } from "./sync_tree.ts";
+
+/** Time that a replaced coordinator has to report before it counts as lost. */
+const replacedHolderGraceMs = 300;
+
+/** How the lease was obtained. */
+export interface LeaseOrigin {
+  readonly takenAtMs: number;
+  /** Instant at which the previous coordinator's authority had ended. */
+  readonly previousEndedAtMs: number;
+  readonly previousHolderId: DaemonId | undefined;
+}
+
+/** Decides for the region. */
+export class Coordinator {
+  readonly authority: Authority;
+  readonly fleet = new FleetView();
+  readonly #state: ControlState;
+  readonly #ledger: PermitLedger;
+  readonly #origin: LeaseOrigin;
+  readonly #handedOutAtMs = new Map<string, number>();
+  #highestPromise = 0;
+  #rebalancedAtMs: number;
+  #isLoaded = false;
+
+  constructor(state: ControlState, origin: LeaseOrigin) {
+    const { leaseDurationMs, permitDurationMs } = state.options;
+    this.#state = state;
+    this.#origin = origin;
+    this.#rebalancedAtMs = origin.takenAtMs;
+    this.authority = new Authority(state.selfId(), leaseDurationMs);
+    this.#ledger = new PermitLedger({
+      permitDurationMs,
+      takenOverAtMs: origin.previousEndedAtMs,
+      previousHolderId: origin.previousHolderId,
+    });
+  }
+
+  epoch(): number {
+    return this.authority.epoch();
+  }
+
+  /** Whether the rows were read since the lease was taken. */
+  isLoaded(): boolean {
+    return this.#isLoaded;
+  }
+
+  /** Notes that every row that was ever committed is held. */
+  finishLoading(members: readonly DaemonInfo[]): void {
+    const graceMs = this.#lossTimeoutMs() - replacedHolderGraceMs;
+    const { takenAtMs, previousHolderId } = this.#origin;
+    for (const daemon of members) {
+      const isReplaced = daemon.daemonId === previousHolderId;
+      this.fleet.hear(daemon, isReplaced ? takenAtMs - graceMs : takenAtMs);
+    }
+    this.#isLoaded = true;
+  }
+
+  /**
+   * Excuses the silence of daemons that were live before this process was
+   * paused: it could not have heard them.
+   */
+  excuseSilence(pausedAtMs: number, nowMs: number): void {
+    const live = this.fleet.heardSince(pausedAtMs - this.#lossTimeoutMs());
+    for (const daemon of live) this.fleet.hear(daemon, nowMs);
+  }
+
+  /** Local instant until which the coordinator may use its own servers. */
+  permitExpiresAtMs(nowMs: number): number {
+    if (!this.#isLoaded) return Number.NEGATIVE_INFINITY;
+    const { permitDurationMs } = this.#state.options;
+    return Math.min(
+      this.authority.expiresAtMs(nowMs),
+      nowMs + permitDurationMs,
+    );
+  }
+
+  /** Takes a report from a child, or from this daemon itself. */
+  receive(report: SyncReport, nowMs: number): void {
+    this.#highestPromise = Math.max(this.#highestPromise, report.promisedEpoch);
+    const { book } = this.#state;
+    this.fleet.record(report, {
+      nowMs,
+      isHomeOf: (daemonId, serverId) =>
+        book.tryGetServer(serverId)?.homeDaemonId === daemonId,
+    });
+    if (report.epoch !== this.epoch()) return;
+    for (const { daemon, tokenMs } of report.heard) {
+      if (tokenMs === undefined) continue;
+      this.authority.confirmMember(daemon.daemonId, tokenMs);
+    }
+  }
+
+  /** Gives a permit of the returned duration; 0 without authority. */
+  givePermit(daemonId: DaemonId, nowMs: number): number {
+    if (!this.#isLoaded || !this.authority.isHeld(nowMs)) return 0;
+    this.#ledger.recordGrant(daemonId, nowMs);
+    return this.#state.options.permitDurationMs;
+  }
+
+  /** The epoch for the next renewal: above every promise that was reported. */
+  nextEpoch(): number {
+    return Math.max(this.epoch(), this.#highestPromise);
+  }
+
+  /** Notes that new rows or members are handed out from now on. */
+  noteHandedOut(rows: readonly AssignmentRow[], nowMs: number): void {
+    for (const { service, version } of rows) {
+      this.#handedOutAtMs.set(`${service}/${version}`, nowMs);
+    }
+    const view = this.#state.record.view();
+    const indirect = view.members.map(({ daemonId }) => daemonId)
+      .filter((id) => {
+        const parent = tryGetParent(view, id);
+        return parent !== undefined && parent.daemonId !== view.holderId;
+      });
+    this.#ledger.setIndirect(new Set(indirect), nowMs);
+    this.#forgetVersions();
+  }
+
+  /** Whether another live daemon could take the lease. */
+  hasSuccessor(nowMs: number): boolean {
+    const selfId = this.#state.selfId();
+    return this.#listLive(nowMs)
+      .some(({ daemonId, isDraining }) => daemonId !== selfId && !isDraining);
+  }
+
+  /** The members as they should be recorded now. */
+  planMembers(nowMs: number): readonly DaemonInfo[] {
+    const listed = new Set(
+      this.#state.directory.current().map(({ vmId }) => vmId),
+    );
+    const live = new Map(
+      this.#listLive(nowMs).map((daemon) => [daemon.daemonId, daemon]),
+    );
+    const remembered = new Set(
+      this.fleet.heardSince(nowMs - memberForgetMs).map((d) => d.daemonId),
+    );
+    const kept = this.#state.record.view().members
+      .filter(({ daemonId }) =>
+        live.has(daemonId) ||
+        (remembered.has(daemonId) &&
+          (listed.size === 0 || listed.has(daemonId)))
+      )
+      .map((daemon) => live.get(daemon.daemonId) ?? daemon);
+    const keptIds = new Set(kept.map(({ daemonId }) => daemonId));
+    const joined = [...live.values()].filter((d) => !keptIds.has(d.daemonId));
+    return [...kept, ...joined];
+  }
+
+  /** Plans the next row of every service; only the changed ones return. */
+  planRows(nowMs: number): readonly AssignmentRow[] {
+    const vms = this.#state.directory.current();
+    if (vms.length === 0 || !this.#mayPlan(nowMs)) return [];
+    const live = this.#listLive(nowMs);
+    const liveIds = new Set(live.map(({ daemonId }) => daemonId));
+    const servers = vms.filter(({ role }) => role === VmRole.BackendServer);
+    this.fleet.retainServers(new Set(servers.map(({ vmId }) => vmId)));
+    const homes = new HomeChooser({
+      hash: this.#state.hash,
+      daemons: live,
+      loads: this.#countLoads(),
+      serverCount: servers.length,
+    });
+    const mayRebalance = nowMs - this.#rebalancedAtMs >= rebalanceIntervalMs;
+    if (mayRebalance) this.#rebalancedAtMs = nowMs;
+    const { options, book, clock, random, hash } = this.#state;
+    return options.definitions.flatMap((definition) =>
+      planMoves({
+        definition,
+        hash,
+        homes,
+        mayRebalance,
+        placement: options.placement,
+        row: book.tryGet(definition.name),
+        listedServers: servers.filter((vm) => vm.service === definition.name),
+        tryGetFigures: (serverId: ServerId) =>
+          this.fleet.tryGetServer(serverId),
+        isDaemonLive: (daemonId) => liveIds.has(daemonId),
+        isReleased: (release) =>
+          this.#isReleased(definition.name, { release, liveIds, nowMs }),
+        facts: {
+          service: definition.name,
+          shardCount: definition.shardCount,
+          epoch: this.epoch(),
+          wallTimeMs: clock.wallTimeMs(),
+          writeId: random.nextId(),
+        },
+      }) ?? []
+    );
+  }
+
+  /**
+   * A live home must report its release, however long its work runs. A lost
+   * one can send nothing once its permit has lapsed.
+   */
+  #isReleased(
+    service: string,
+    { release, liveIds, nowMs }: {
+      readonly release: PendingRelease;
+      readonly liveIds: ReadonlySet<DaemonId>;
+      readonly nowMs: number;
+    },
+  ): boolean {
+    const { daemonId, sinceVersion } = release;
+    if (this.fleet.hasReleased(daemonId, service, sinceVersion)) return true;
+    if (liveIds.has(daemonId)) return false;
+    const handedOutAtMs = this.#handedOutAtMs.get(`${service}/${sinceVersion}`);
+    return nowMs >= this.#ledger.lapseAtMs(
+      daemonId,
+      handedOutAtMs ?? this.#origin.takenAtMs,
+    );
+  }
+
+  /** A region's first rows wait until its daemons had time to arrive. */
+  #mayPlan(nowMs: number): boolean {
+    const isFirst = this.#state.book.rows().length === 0;
+    return !isFirst || nowMs >= this.#origin.takenAtMs + firstAssignmentDelayMs;
+  }
+
+  #listLive(nowMs: number): readonly DaemonInfo[] {
+    const leaving = new Set(
+      this.#state.directory.current()
+        .filter(({ state }) => state === VmState.Leaving)
+        .map(({ vmId }) => vmId),
+    );
+    this.fleet.hear(this.#state.membership.self(), nowMs);
+    return this.fleet.heardSince(nowMs - this.#lossTimeoutMs())
+      .map((daemon) => ({
+        ...daemon,
+        isDraining: daemon.isDraining || leaving.has(daemon.daemonId),
+      }));
+  }
+
+  #lossTimeoutMs(): number {
+    return this.#state.options.syncIntervalMs * missedSyncLimit;
+  }
+
+  #countLoads(): HomeLoads {
+    const loads: HomeLoads = new Map();
+    for (const row of this.#state.book.rows()) {
+      for (const { homeDaemonId } of row.servers) {
+        if (homeDaemonId === noHomeDaemonId) continue;
+        loads.set(homeDaemonId, (loads.get(homeDaemonId) ?? 0) + 1);
+      }
+    }
+    return loads;
+  }
+
+  /** Drops the dates of versions that no release waits for. */
+  #forgetVersions(): void {
+    const awaited = new Set(
+      this.#state.book.rows().flatMap((row) => [
+        `${row.service}/${row.version}`,
+        ...row.pendingReleases.map((p) => `${row.service}/${p.sinceVersion}`),
+      ]),
+    );
+    for (const version of this.#handedOutAtMs.keys()) {
+      if (!awaited.has(version)) this.#handedOutAtMs.delete(version);
+    }
+  }
+}
--- /dev/null
+++ b/src/services/ownership/home_planner.ts
@@ -0,0 +1,121 @@
+/** Plans the servers of a row and the home of each. */
+import { BackendServerState, MoveReason } from "../../types/enums.ts";
+import type {
+  AssignedServer,
+  DaemonId,
+  ServerId,
+  VmRecord,
+} from "../../types/types.ts";
+import {
+  noHomeDaemonId,
+  type PendingRelease,
+  ReleaseKind,
+} from "./assignment_codec.ts";
+import type { ServerFigures } from "./fleet_view.ts";
+import type { HomeChooser } from "./home_assignment.ts";
+import type { RowDraft } from "./row_draft.ts";
+import { computeServerState } from "./server_states.ts";
+
+/** What the planning of homes looks at. */
+export interface HomePlanInput {
+  /** The service's backend servers in the platform's list. */
+  readonly listedServers: readonly VmRecord[];
+  readonly tryGetFigures: (serverId: ServerId) => ServerFigures | undefined;
+  readonly isDaemonLive: (daemonId: DaemonId) => boolean;
+  readonly homes: HomeChooser;
+  /** Whether a server may change its home for the sake of balance. */
+  readonly mayRebalance: boolean;
+}
+
+/** Brings the servers of the draft up to date with the platform's list. */
+export function planServers(draft: RowDraft, input: HomePlanInput): void {
+  const listed = new Map(input.listedServers.map((vm) => [vm.vmId, vm]));
+  for (const vm of input.listedServers) {
+    if (!draft.servers.has(vm.vmId)) draft.putServer(createServer(vm));
+  }
+  for (const server of [...draft.servers.values()]) {
+    const vm = listed.get(server.serverId);
+    const figures = input.tryGetFigures(server.serverId);
+    const state = computeServerState({ vm, figures, assigned: server });
+    draft.setState(server.serverId, state);
+    if (vm === undefined && isUnreferenced(draft, server.serverId)) {
+      draft.removeServer(server.serverId);
+    }
+  }
+}
+
+/** Withdraws servers from homes that are lost, leaving or overloaded. */
+export function withdrawHomes(draft: RowDraft, input: HomePlanInput): void {
+  let mayRebalance = input.mayRebalance &&
+    !draft.pendingReleases.some(({ kind }) => kind === ReleaseKind.Home);
+  for (const server of [...draft.servers.values()]) {
+    const home = server.homeDaemonId;
+    if (home === noHomeDaemonId) continue;
+    const reason = tryFindReason(home, input, mayRebalance);
+    if (reason === undefined) continue;
+    if (reason === MoveReason.Rebalance) mayRebalance = false;
+    input.homes.release(home);
+    draft.withdrawHome(server.serverId, reason);
+  }
+}
+
+/** Gives a home to each server that has none and whose last home released. */
+export function giveHomes(
+  draft: RowDraft,
+  input: HomePlanInput,
+  released: readonly PendingRelease[],
+): void {
+  for (const server of [...draft.servers.values()]) {
+    const { serverId } = server;
+    if (server.homeDaemonId !== noHomeDaemonId) continue;
+    if (isHomePending(draft, serverId)) continue;
+    const reason = released.find((release) =>
+      release.kind === ReleaseKind.Home && release.serverId === serverId
+    )?.reason ?? MoveReason.Initial;
+    const home = input.homes.tryChooseHome(server, reason);
+    if (home !== undefined) {
+      draft.giveHome(serverId, home, reason);
+    }
+  }
+  for (const server of [...draft.servers.values()]) {
+    const standbyDaemonId = input.homes.tryChooseStandby(server);
+    if (standbyDaemonId === server.standbyDaemonId) continue;
+    draft.putServer({ ...server, standbyDaemonId });
+  }
+}
+
+function tryFindReason(
+  home: DaemonId,
+  { homes, isDaemonLive }: HomePlanInput,
+  mayRebalance: boolean,
+): MoveReason | undefined {
+  if (!isDaemonLive(home)) return MoveReason.HomeLost;
+  if (!homes.hasCandidates()) return undefined;
+  if (!homes.isCandidate(home)) return MoveReason.HomeDraining;
+  if (mayRebalance && homes.isOverloaded(home)) return MoveReason.Rebalance;
+  return undefined;
+}
+
+function isHomePending(draft: RowDraft, serverId: ServerId): boolean {
+  return draft.pendingReleases.some((release) =>
+    release.kind === ReleaseKind.Home && release.serverId === serverId
+  );
+}
+
+function isUnreferenced(draft: RowDraft, serverId: ServerId): boolean {
+  return !draft.owners.includes(serverId) &&
+    ![...draft.overrides.values()].some((o) => o.serverId === serverId) &&
+    !draft.pendingReleases.some((release) => release.serverId === serverId);
+}
+
+function createServer(vm: VmRecord): AssignedServer {
+  return {
+    serverId: vm.vmId,
+    address: vm.address,
+    dataCentre: vm.dataCentre,
+    state: BackendServerState.Live,
+    homeDaemonId: noHomeDaemonId,
+    standbyDaemonId: undefined,
+    homeFence: 0,
+  };
+}
--- /dev/null
+++ b/src/services/ownership/lease_store.ts
@@ -0,0 +1,159 @@
+/**
+ * Reads and writes the coordinator's rows. Every transaction rewrites the
+ * lease row under compare-and-set, so that no assignment can be committed by
+ * a daemon that no longer holds the lease. A lost answer is resolved by the
+ * write identifier that the next read finds.
+ */
+import type { TableRow, TableWrite } from "../../host/platform_table.ts";
+import { AttemptOutcome } from "../../types/enums.ts";
+import { CounterName } from "../metrics/metrics.ts";
+import {
+  type AssignmentRow,
+  assignmentRowKey,
+  assignmentRowPrefix,
+  decodeAssignmentRow,
+  encodeAssignmentRow,
+} from "./assignment_codec.ts";
+import type { ControlState } from "./control_state.ts";
+import {
+  decodeLeaseRow,
+  decodeMembersRow,
+  type LeaseRow,
+  leaseRowKey,
+  type MembersRow,
+  membersRowKey,
+} from "./coordinator_row.ts";
+
+const rememberedWriteCount = 16;
+
+/** What became of a transaction. */
+export enum CommitOutcome {
+  Committed = "committed",
+  /** Another write came first. */
+  Conflict = "conflict",
+  /** The write may have taken effect. */
+  Unknown = "unknown",
+  /** The write did not take effect. */
+  Failed = "failed",
+}
+
+/** A lease row with the table's version of it; version 0 when there is none. */
+export interface ReadLease {
+  readonly version: number;
+  readonly lease: LeaseRow | undefined;
+  readonly receivedAtMs: number;
+}
+
+/** One transaction. */
+export interface LeaseCommit {
+  /** The table's version of the lease row that this write replaces. */
+  readonly leaseVersion: number;
+  readonly lease: Omit<LeaseRow, "writeId">;
+  readonly members: MembersRow | undefined;
+  readonly rows: readonly AssignmentRow[];
+}
+
+/** The table as the lease's holder, or a candidate, uses it. */
+export class LeaseStore {
+  readonly #state: ControlState;
+  readonly #versions = new Map<string, number>();
+  #writeIds: readonly string[] = [];
+
+  constructor(state: ControlState) {
+    this.#state = state;
+  }
+
+  /** Reads the lease row; undefined when the table cannot be reached. */
+  async tryReadLease(): Promise<ReadLease | undefined> {
+    const read = await this.#tryRead(leaseRowKey(this.#state.options.region));
+    if (read === undefined) return undefined;
+    return {
+      version: read.row?.version ?? 0,
+      lease: read.row && decodeLeaseRow(read.row.value),
+      receivedAtMs: this.#state.clock.nowMs(),
+    };
+  }
+
+  /** Reads the members row; undefined when it cannot be read or is missing. */
+  async tryReadMembers(): Promise<MembersRow | undefined> {
+    const read = await this.#tryRead(membersRowKey(this.#state.options.region));
+    return read?.row && decodeMembersRow(read.row.value);
+  }
+
+  /** Reads every assignment; undefined when the table cannot be reached. */
+  async tryReadAssignments(): Promise<readonly AssignmentRow[] | undefined> {
+    const { table, metrics } = this.#state;
+    metrics.count(CounterName.PlatformReads);
+    const rows = await table.list(assignmentRowPrefix);
+    if (rows.isErr()) {
+      metrics.count(CounterName.PlatformErrors);
+      return undefined;
+    }
+    for (const row of rows.value) this.#versions.set(row.key, row.version);
+    return rows.value.map(({ value }) => decodeAssignmentRow(value));
+  }
+
+  /** Whether a lease row was written by this daemon. */
+  isOwnWrite(lease: LeaseRow): boolean {
+    return this.#writeIds.includes(lease.writeId);
+  }
+
+  /** Writes the lease row with everything that depends on it. */
+  async commit(commit: LeaseCommit): Promise<CommitOutcome> {
+    const { table, metrics } = this.#state;
+    metrics.count(CounterName.PlatformWrites);
+    const result = await table.commit(this.#createWrites(commit));
+    if (result.isErr()) {
+      metrics.count(CounterName.PlatformErrors);
+      return result.error.outcome === AttemptOutcome.Unknown
+        ? CommitOutcome.Unknown
+        : CommitOutcome.Failed;
+    }
+    if (!result.value.isCommitted) return CommitOutcome.Conflict;
+    for (const row of result.value.rows) {
+      this.#versions.set(row.key, row.version);
+    }
+    return CommitOutcome.Committed;
+  }
+
+  #createWrites(
+    { lease, leaseVersion, members, rows }: LeaseCommit,
+  ): readonly TableWrite[] {
+    const { region } = this.#state.options;
+    const writeId = this.#state.random.nextId();
+    this.#writeIds = [...this.#writeIds, writeId].slice(-rememberedWriteCount);
+    const leaseText = JSON.stringify({ ...lease, writeId });
+    const writes: TableWrite[] = [{
+      key: leaseRowKey(region),
+      value: leaseText,
+      expectedVersion: leaseVersion,
+    }];
+    if (members !== undefined) {
+      const text = JSON.stringify(members);
+      writes.push(this.#createWrite(membersRowKey(region), text));
+    }
+    for (const row of rows) {
+      const text = encodeAssignmentRow(row);
+      writes.push(this.#createWrite(assignmentRowKey(row.service), text));
+    }
+    return writes;
+  }
+
+  #createWrite(key: string, value: string): TableWrite {
+    return { key, value, expectedVersion: this.#versions.get(key) ?? 0 };
+  }
+
+  async #tryRead(
+    key: string,
+  ): Promise<{ readonly row: TableRow | undefined } | undefined> {
+    const { table, metrics } = this.#state;
+    metrics.count(CounterName.PlatformReads);
+    const read = await table.read(key);
+    if (read.isErr()) {
+      metrics.count(CounterName.PlatformErrors);
+      return undefined;
+    }
+    this.#versions.set(key, read.value?.version ?? 0);
+    return { row: read.value };
+  }
+}
--- /dev/null
+++ b/src/services/ownership/lease_task.ts
@@ -0,0 +1,217 @@
+/**
+ * The task that holds the lease: as coordinator it renews the lease row and
+ * commits what it decides; otherwise it watches the row.
+ */
+import { CounterName } from "../metrics/metrics.ts";
+import type { DaemonInfo } from "../../types/types.ts";
+import { type AssignmentRow } from "./assignment_codec.ts";
+import { decisionIntervalMs, watchIntervalMs } from "./control_options.ts";
+import type { ControlState } from "./control_state.ts";
+import type { Coordinator } from "./coordinator.ts";
+import { vacantHolderId } from "./coordinator_row.ts";
+import { CommitOutcome, type LeaseStore } from "./lease_store.ts";
+import { createReport } from "./sync_task.ts";
+import { Takeover } from "./takeover.ts";
+import { learnLease } from "./view_reader.ts";
+
+/** What the next transaction carries beside the lease row. */
+interface Decision {
+  readonly rows: readonly AssignmentRow[];
+  readonly members: readonly DaemonInfo[];
+  readonly isMembersChanged: boolean;
+}
+
+/** Holds or watches the lease. */
+export class LeaseTask {
+  readonly #state: ControlState;
+  readonly #store: LeaseStore;
+  readonly #takeover: Takeover;
+  #leaseVersion = 0;
+  #renewalCount = 0;
+  #renewedAtMs = Number.NEGATIVE_INFINITY;
+  #mustReload = true;
+
+  constructor(state: ControlState, store: LeaseStore) {
+    this.#state = state;
+    this.#store = store;
+    this.#takeover = new Takeover(state, store);
+  }
+
+  /** Runs until aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, decisions } = this.#state;
+    while (!signal.aborted) {
+      const coordinator = this.#state.tryGetCoordinator();
+      if (coordinator === undefined) {
+        this.#mustReload = true;
+        await this.#takeover.watchOnce(signal);
+        const hasLease = this.#state.tryGetCoordinator() !== undefined;
+        if (!hasLease) await clock.sleep(watchIntervalMs, signal);
+        continue;
+      }
+      const startedAtMs = clock.nowMs();
+      await this.#coordinateOnce(coordinator);
+      await decisions.sleep(clock, decisionIntervalMs, signal);
+      this.#excusePause(coordinator, startedAtMs);
+    }
+  }
+
+  /** After a pause of this process, silence says nothing about the others. */
+  #excusePause(coordinator: Coordinator, startedAtMs: number): void {
+    const nowMs = this.#state.clock.nowMs();
+    const limitMs = this.#state.options.leaseDurationMs + decisionIntervalMs;
+    if (nowMs - startedAtMs > 2 * limitMs) {
+      coordinator.excuseSilence(startedAtMs, nowMs);
+    }
+  }
+
+  async #coordinateOnce(coordinator: Coordinator): Promise<void> {
+    if (this.#mustReload && !await this.#reload(coordinator)) return;
+    const nowMs = this.#state.clock.nowMs();
+    coordinator.receive(
+      createReport(this.#state, this.#state.relay.take()),
+      nowMs,
+    );
+    const decision = decide(this.#state, { coordinator, nowMs });
+    if (this.#mayResign(coordinator, nowMs)) return await this.#resign();
+    const isRenewalDue =
+      nowMs - this.#renewedAtMs >= this.#state.options.syncIntervalMs;
+    const isChanged = decision.rows.length > 0 || decision.isMembersChanged;
+    if (isChanged || isRenewalDue) await this.#commit(coordinator, decision);
+  }
+
+  async #commit(coordinator: Coordinator, decision: Decision): Promise<void> {
+    const sentAtMs = this.#state.clock.nowMs();
+    const before = this.#state.record.view();
+    const view = {
+      epoch: coordinator.nextEpoch(),
+      holderId: this.#state.selfId(),
+      membersVersion: before.membersVersion +
+        (decision.isMembersChanged ? 1 : 0),
+      members: decision.members,
+    };
+    const { epoch, holderId, membersVersion, members } = view;
+    const outcome = await this.#store.commit({
+      leaseVersion: this.#leaseVersion,
+      lease: {
+        epoch,
+        holderId,
+        membersVersion,
+        renewalCount: this.#renewalCount,
+      },
+      members: decision.isMembersChanged
+        ? { membersVersion, members }
+        : undefined,
+      rows: decision.rows,
+    });
+    if (outcome === CommitOutcome.Committed) {
+      this.#leaseVersion += 1;
+      this.#renewalCount += 1;
+      this.#renewedAtMs = sentAtMs;
+      if (this.#state.tryGetCoordinator() !== coordinator) return;
+      coordinator.authority.confirmRow(view, sentAtMs);
+      this.#state.learnView(view);
+      this.#handOut(coordinator, decision.rows);
+      return;
+    }
+    if (outcome === CommitOutcome.Failed) return;
+    if (decision.isMembersChanged) {
+      coordinator.authority.addElectorate(members);
+    }
+    this.#mustReload = true;
+  }
+
+  /**
+   * Reads the rows after taking the lease, and whenever it is not known which
+   * write came last. Returns false when that is still not known.
+   */
+  async #reload(coordinator: Coordinator): Promise<boolean> {
+    const read = await this.#store.tryReadLease();
+    if (read?.lease === undefined) return false;
+    if (!this.#store.isOwnWrite(read.lease)) {
+      await learnLease(this.#state, { store: this.#store, read });
+      this.#state.stopCoordinating("the lease row has another writer");
+      return false;
+    }
+    const members = await this.#store.tryReadMembers();
+    const rows = await this.#store.tryReadAssignments();
+    if (members === undefined || rows === undefined) return false;
+    if (this.#state.tryGetCoordinator() !== coordinator) return false;
+    this.#leaseVersion = read.version;
+    coordinator.authority.setElectorate(members.members);
+    this.#state.learnView({
+      ...members,
+      epoch: read.lease.epoch,
+      holderId: read.lease.holderId,
+    });
+    if (!coordinator.isLoaded()) coordinator.finishLoading(members.members);
+    this.#handOut(coordinator, rows);
+    this.#mustReload = false;
+    return true;
+  }
+
+  #handOut(coordinator: Coordinator, rows: readonly AssignmentRow[]): void {
+    const { book, clock, metrics } = this.#state;
+    const newer = rows.filter((row) => book.accept(row));
+    for (const row of newer) countMoves(metrics, row);
+    coordinator.noteHandedOut(newer, clock.nowMs());
+  }
+
+  /** A draining coordinator resigns once its servers have other homes. */
+  #mayResign(coordinator: Coordinator, nowMs: number): boolean {
+    const self = this.#state.membership.self();
+    if (!self.isDraining) return false;
+    const isHome = this.#state.book.rows().some((row) =>
+      row.servers.some((s) => s.homeDaemonId === self.daemonId) ||
+      row.pendingReleases.some((p) => p.daemonId === self.daemonId)
+    );
+    return !isHome && coordinator.hasSuccessor(nowMs);
+  }
+
+  async #resign(): Promise<void> {
+    const { epoch, membersVersion } = this.#state.record.view();
+    this.#state.stopCoordinating("draining");
+    await this.#store.commit({
+      leaseVersion: this.#leaseVersion,
+      lease: {
+        epoch,
+        holderId: vacantHolderId,
+        membersVersion,
+        renewalCount: this.#renewalCount,
+      },
+      members: undefined,
+      rows: [],
+    });
+  }
+}
+
+function decide(
+  state: ControlState,
+  { coordinator, nowMs }: {
+    readonly coordinator: Coordinator;
+    readonly nowMs: number;
+  },
+): Decision {
+  const members = coordinator.planMembers(nowMs);
+  const before = state.record.view().members;
+  return {
+    rows: coordinator.planRows(nowMs),
+    members,
+    isMembersChanged: JSON.stringify(members) !== JSON.stringify(before),
+  };
+}
+
+function countMoves(
+  metrics: ControlState["metrics"],
+  row: AssignmentRow,
+): void {
+  const started = row.pendingReleases
+    .filter(({ sinceVersion }) => sinceVersion === row.version);
+  const finished = row.moves.filter(({ version }) => version === row.version);
+  if (started.length > 0) {
+    metrics.count(CounterName.MovesStarted, undefined, started.length);
+  }
+  if (finished.length > 0) {
+    metrics.count(CounterName.MovesFinished, undefined, finished.length);
+  }
+}
--- /dev/null
+++ b/src/services/ownership/report_relay.ts
@@ -0,0 +1,78 @@
+/**
+ * Collects what this daemon and its children report, until a sync has carried
+ * it to the parent. The newest report of each subject replaces older ones.
+ */
+import type { DaemonId } from "../../types/types.ts";
+import type { ServerObservation } from "./ownership.ts";
+import type {
+  HeardDaemon,
+  ReleaseReport,
+  ReportedObservation,
+  SyncReport,
+} from "./sync_messages.ts";
+
+/** The parts of a report that travel up the tree. */
+export type RelayedReport = Pick<
+  SyncReport,
+  "heard" | "releases" | "observations"
+>;
+
+/** Holds reports on their way to the coordinator. */
+export class ReportRelay {
+  #heard = new Map<DaemonId, HeardDaemon>();
+  #releases = new Map<string, ReleaseReport>();
+  #observations = new Map<string, ReportedObservation>();
+
+  /** Adds a child's report. */
+  add(report: RelayedReport): void {
+    for (const heard of report.heard) {
+      this.#heard.set(heard.daemon.daemonId, heard);
+    }
+    for (const release of report.releases) {
+      this.#releases.set(`${release.daemonId}/${release.service}`, release);
+    }
+    for (const observed of report.observations) this.observe(observed);
+  }
+
+  /** Adds one observation to those of the same home about the same server. */
+  observe({ observerId, observation }: ReportedObservation): void {
+    const subject = `${observerId}/${observation.serverId}`;
+    const earlier = this.#observations.get(subject)?.observation;
+    this.#observations.set(subject, {
+      observerId,
+      observation: mergeObservations(earlier, observation),
+    });
+  }
+
+  /** Takes everything collected; `add` it again when the sync fails. */
+  take(): RelayedReport {
+    const taken = {
+      heard: [...this.#heard.values()],
+      releases: [...this.#releases.values()],
+      observations: [...this.#observations.values()],
+    };
+    this.#heard = new Map();
+    this.#releases = new Map();
+    this.#observations = new Map();
+    return taken;
+  }
+
+  /** Puts observations back after a failed sync, beneath newer ones. */
+  restore(report: RelayedReport): void {
+    const newer = this.take();
+    this.add({ heard: [], releases: [], observations: report.observations });
+    this.add(newer);
+  }
+}
+
+function mergeObservations(
+  earlier: ServerObservation | undefined,
+  later: ServerObservation,
+): ServerObservation {
+  if (earlier === undefined) return later;
+  return {
+    ...later,
+    completedCount: earlier.completedCount + later.completedCount,
+    hotKeys: later.hotKeys.length > 0 ? later.hotKeys : earlier.hotKeys,
+  };
+}
--- /dev/null
+++ b/src/services/ownership/row_draft.ts
@@ -0,0 +1,265 @@
+/**
+ * The next row of one service while it is being planned. Withdrawing a right
+ * and giving it to another are separate operations: the second is allowed
+ * only once the release of the first is confirmed.
+ */
+import type { BackendServerState, MoveReason } from "../../types/enums.ts";
+import type {
+  AssignedServer,
+  DaemonId,
+  MoveRecord,
+  ServerId,
+} from "../../types/types.ts";
+import {
+  type AssignmentRow,
+  noHomeDaemonId,
+  noServerId,
+  noServerIndex,
+  type PendingRelease,
+  ReleaseKind,
+} from "./assignment_codec.ts";
+
+const moveHistoryLimit = 50;
+
+/** Why a right changes hands, and from whom. */
+export interface MoveCause {
+  readonly reason: MoveReason;
+  readonly fromServerId: ServerId | undefined;
+}
+
+interface OverrideDraft {
+  readonly serverId: ServerId;
+  readonly fence: number;
+}
+
+/** Facts that every new row carries. */
+export interface DraftFacts {
+  readonly service: string;
+  readonly shardCount: number;
+  readonly epoch: number;
+  readonly wallTimeMs: number;
+  readonly writeId: string;
+}
+
+/** A row that can be changed. */
+export class RowDraft {
+  readonly version: number;
+  readonly servers: Map<ServerId, AssignedServer>;
+  readonly owners: (ServerId | undefined)[];
+  readonly overrides: Map<string, OverrideDraft>;
+  pendingReleases: PendingRelease[];
+  readonly #facts: DraftFacts;
+  readonly #fences: number[];
+  readonly #moves: MoveRecord[];
+  #isChanged = false;
+
+  constructor(facts: DraftFacts, row: AssignmentRow | undefined) {
+    this.#facts = facts;
+    this.version = (row?.version ?? 0) + 1;
+    this.servers = new Map(row?.servers.map((s) => [s.serverId, s]));
+    this.owners = Array.from(
+      { length: facts.shardCount },
+      (_, shard) => row?.servers[row.shardServers[shard] ?? -1]?.serverId,
+    );
+    this.#fences = Array.from(
+      { length: facts.shardCount },
+      (_, shard) => row?.shardFences[shard] ?? 0,
+    );
+    this.overrides = new Map(row?.overrides.map((o) => [o.key, o]));
+    this.pendingReleases = [...row?.pendingReleases ?? []];
+    this.#moves = [...row?.moves ?? []];
+  }
+
+  /** Whether the draft differs from the row it started from. */
+  isChanged(): boolean {
+    return this.#isChanged;
+  }
+
+  /** Adds or changes a server's facts; keeps its home. */
+  putServer(server: AssignedServer): void {
+    this.servers.set(server.serverId, server);
+    this.#isChanged = true;
+  }
+
+  /** Changes the state of a server. */
+  setState(serverId: ServerId, state: BackendServerState): void {
+    const server = this.servers.get(serverId)!;
+    if (server.state !== state) this.putServer({ ...server, state });
+  }
+
+  /** Removes a server that owns nothing. */
+  removeServer(serverId: ServerId): void {
+    this.servers.delete(serverId);
+    this.#isChanged = true;
+  }
+
+  /** Removes the releases that `isReleased` confirms, and returns them. */
+  takeReleased(
+    isReleased: (release: PendingRelease) => boolean,
+  ): readonly PendingRelease[] {
+    const released = this.pendingReleases.filter(isReleased);
+    if (released.length === 0) return released;
+    this.pendingReleases = this.pendingReleases
+      .filter((release) => !released.includes(release));
+    this.#isChanged = true;
+    return released;
+  }
+
+  /** Takes a server from its home. */
+  withdrawHome(serverId: ServerId, reason: MoveReason): void {
+    const server = this.servers.get(serverId)!;
+    this.#addRelease({ kind: ReleaseKind.Home, serverId, reason });
+    this.putServer({ ...server, homeDaemonId: noHomeDaemonId });
+  }
+
+  /** Gives a server without a home to a daemon, with higher fences. */
+  giveHome(serverId: ServerId, daemonId: DaemonId, reason: MoveReason): void {
+    const server = this.servers.get(serverId)!;
+    this.putServer({
+      ...server,
+      homeDaemonId: daemonId,
+      homeFence: this.version,
+    });
+    let shardCount = 0;
+    for (const [shard, owner] of this.owners.entries()) {
+      if (owner !== serverId) continue;
+      this.#fences[shard] = this.version;
+      shardCount += 1;
+    }
+    for (const [key, override] of this.overrides) {
+      if (override.serverId !== serverId) continue;
+      this.overrides.set(key, { serverId, fence: this.version });
+    }
+    this.#record({ reason, fromServerId: serverId }, {
+      toServerId: serverId,
+      shardCount,
+    });
+  }
+
+  /** Takes shards from their owner. */
+  withdrawShards(
+    serverId: ServerId,
+    shards: readonly number[],
+    plan: { readonly reason: MoveReason; readonly toServerId?: ServerId },
+  ): void {
+    if (shards.length === 0) return;
+    for (const shard of shards) this.owners[shard] = undefined;
+    this.#addRelease({ kind: ReleaseKind.Shards, serverId, shards, ...plan });
+    this.#isChanged = true;
+  }
+
+  /** Gives a shard without an owner to a server. */
+  giveShard(shard: number, toServerId: ServerId, cause: MoveCause): void {
+    this.owners[shard] = toServerId;
+    this.#fences[shard] = this.version;
+    this.#record(cause, { toServerId, shardCount: 1 });
+    this.#isChanged = true;
+  }
+
+  /** Takes a key from its owner, out of its shard or out of an override. */
+  withdrawKey(
+    key: string,
+    serverId: ServerId,
+    plan: { readonly reason: MoveReason; readonly toServerId?: ServerId },
+  ): void {
+    this.overrides.set(key, { serverId: noServerId, fence: this.version });
+    this.#addRelease({ kind: ReleaseKind.Key, serverId, key, ...plan });
+    this.#isChanged = true;
+  }
+
+  /** Gives a key in motion to a server of its own. */
+  giveKey(key: string, toServerId: ServerId, cause: MoveCause): void {
+    this.overrides.set(key, { serverId: toServerId, fence: this.version });
+    this.#record(cause, { toServerId, shardCount: 0, key });
+    this.#isChanged = true;
+  }
+
+  /** Returns a key in motion to its shard, whose fence rises for it. */
+  endOverride(key: string, shard: number, cause: MoveCause): void {
+    this.overrides.delete(key);
+    this.#fences[shard] = this.version;
+    const toServerId = this.owners[shard];
+    this.#record(cause, { toServerId, shardCount: 0, key });
+    this.#isChanged = true;
+  }
+
+  /** The finished row. */
+  build(): AssignmentRow {
+    const servers = [...this.servers.values()]
+      .sort((a, b) => a.serverId < b.serverId ? -1 : 1);
+    const indexes = new Map(servers.map((s, index) => [s.serverId, index]));
+    return {
+      service: this.#facts.service,
+      epoch: this.#facts.epoch,
+      version: this.version,
+      writeId: this.#facts.writeId,
+      servers,
+      shardServers: this.owners.map((owner) =>
+        indexes.get(owner ?? noServerId) ?? noServerIndex
+      ),
+      shardFences: this.#fences,
+      overrides: [...this.overrides].map(([key, o]) => ({
+        key,
+        serverId: o.serverId,
+        fence: o.fence,
+      })),
+      pendingReleases: this.pendingReleases,
+      moves: this.#moves.slice(-moveHistoryLimit),
+    };
+  }
+
+  /**
+   * Notes who must release what. When the server's home is itself being
+   * withdrawn, that daemon must; when nobody has been its home since, nobody.
+   */
+  #addRelease(
+    parts:
+      & Pick<PendingRelease, "kind" | "serverId" | "reason">
+      & Partial<PendingRelease>,
+  ): void {
+    const daemonId = this.#tryGetSender(parts.serverId);
+    if (daemonId === undefined) return;
+    this.pendingReleases.push({
+      shards: [],
+      key: undefined,
+      toServerId: undefined,
+      ...parts,
+      daemonId,
+      sinceVersion: this.version,
+    });
+  }
+
+  /** The daemon that may have work in flight at a server. */
+  #tryGetSender(serverId: ServerId): DaemonId | undefined {
+    const home = this.servers.get(serverId)?.homeDaemonId;
+    if (home !== undefined && home !== noHomeDaemonId) return home;
+    return this.pendingReleases.find((release) =>
+      release.kind === ReleaseKind.Home && release.serverId === serverId
+    )?.daemonId;
+  }
+
+  /** Adds to the history; equal moves of one version are one record. */
+  #record(
+    cause: MoveCause,
+    move: Pick<MoveRecord, "toServerId" | "shardCount"> & { key?: string },
+  ): void {
+    const last = this.#moves.findLast((m) =>
+      m.version === this.version && m.reason === cause.reason &&
+      m.fromServerId === cause.fromServerId &&
+      m.toServerId === move.toServerId && m.key === move.key
+    );
+    const shardCount = (last?.shardCount ?? 0) + move.shardCount;
+    if (last !== undefined) this.#moves.splice(this.#moves.indexOf(last), 1);
+    this.#moves.push({
+      service: this.#facts.service,
+      epoch: this.#facts.epoch,
+      version: this.version,
+      wallTimeMs: this.#facts.wallTimeMs,
+      reason: cause.reason,
+      fromServerId: cause.fromServerId,
+      toServerId: move.toServerId,
+      shardCount,
+      key: move.key,
+    });
+  }
+}
--- /dev/null
+++ b/src/services/ownership/shard_planner.ts
@@ -0,0 +1,230 @@
+/** Plans the owner of each shard and of each hot key. */
+import { BackendServerState, MoveReason } from "../../types/enums.ts";
+import type { ServerId, ServiceDefinition } from "../../types/types.ts";
+import {
+  noServerId,
+  type PendingRelease,
+  ReleaseKind,
+} from "./assignment_codec.ts";
+import type { ServerFigures } from "./fleet_view.ts";
+import { computeShard, type HashFunction } from "./key_hash.ts";
+import type { KeyRate } from "./ownership.ts";
+import type { Placement, PlacementInput, PlannedMove } from "./placement.ts";
+import type { MoveCause, RowDraft } from "./row_draft.ts";
+import { isUsable } from "./server_states.ts";
+
+/** Share of a service's shards that may be in motion for balance. */
+const maxMovingShare = 0.125;
+
+/** What the planning of shards looks at. */
+export interface ShardPlanInput {
+  readonly definition: ServiceDefinition;
+  readonly placement: Placement;
+  readonly hash: HashFunction;
+  readonly tryGetFigures: (serverId: ServerId) => ServerFigures | undefined;
+  /** Whether shards with a usable owner may move. */
+  readonly mayRebalance: boolean;
+}
+
+/** Withdraws everything from servers that may no longer own shards. */
+export function withdrawFromUnusable(draft: RowDraft): void {
+  const hasUsable = [...draft.servers.values()].some((s) => isUsable(s.state));
+  for (const server of draft.servers.values()) {
+    if (isUsable(server.state)) continue;
+    const isLost = server.state === BackendServerState.Lost;
+    if (!isLost && !hasUsable) continue;
+    const reason = isLost ? MoveReason.ServerLost : MoveReason.ServerDraining;
+    draft.withdrawShards(
+      server.serverId,
+      listShardsOf(draft, server.serverId),
+      { reason },
+    );
+    for (const [key, override] of [...draft.overrides]) {
+      if (override.serverId !== server.serverId) continue;
+      draft.withdrawKey(key, server.serverId, { reason });
+    }
+  }
+}
+
+/** Gives released shards and keys to the owners that were planned for them. */
+export function giveReleased(
+  draft: RowDraft,
+  input: ShardPlanInput,
+  released: readonly PendingRelease[],
+): void {
+  for (const release of released) {
+    const cause = { reason: release.reason, fromServerId: release.serverId };
+    if (release.kind === ReleaseKind.Key) {
+      giveReleasedKey(draft, { input, release, cause });
+    }
+    if (release.kind !== ReleaseKind.Shards) continue;
+    if (!isServerUsable(draft, release.toServerId)) continue;
+    for (const shard of release.shards) {
+      draft.giveShard(shard, release.toServerId!, cause);
+    }
+  }
+}
+
+/** Lets the placement decide, and carries out what is allowed now. */
+export function planShards(
+  draft: RowDraft,
+  input: ShardPlanInput,
+  released: readonly PendingRelease[],
+): void {
+  const hasUnowned = draft.owners.some((owner) => owner === undefined);
+  if (!hasUnowned && !input.mayRebalance) return;
+  const causes = listCauses(released);
+  const moving = listMoving(draft);
+  const withdrawals = new Map<string, PlannedMove[]>();
+  for (const move of input.placement.plan(createInput(draft, input))) {
+    if (move.shard === undefined) {
+      planKey(draft, { input, move });
+      continue;
+    }
+    if (moving.has(move.shard) || move.toServerId === undefined) continue;
+    const owner = draft.owners[move.shard];
+    if (owner === undefined) {
+      const cause = causes.get(move.shard) ??
+        { reason: move.reason, fromServerId: undefined };
+      draft.giveShard(move.shard, move.toServerId, cause);
+    } else if (owner !== move.toServerId) {
+      const group = `${owner}/${move.toServerId}/${move.reason}`;
+      withdrawals.set(group, [...withdrawals.get(group) ?? [], move]);
+    }
+  }
+  for (const moves of withdrawals.values()) withdrawGroup(draft, moves);
+}
+
+function withdrawGroup(draft: RowDraft, moves: readonly PlannedMove[]): void {
+  const { reason, toServerId, shard } = moves[0]!;
+  draft.withdrawShards(
+    draft.owners[shard!]!,
+    moves.map((move) => move.shard!),
+    { reason, toServerId },
+  );
+}
+
+function planKey(
+  draft: RowDraft,
+  { input, move }: {
+    readonly input: ShardPlanInput;
+    readonly move: PlannedMove;
+  },
+): void {
+  const key = move.key;
+  if (key === undefined) return;
+  const override = draft.overrides.get(key);
+  const shard = computeShard(input.hash, key, input.definition);
+  const owner = override === undefined
+    ? draft.owners[shard]
+    : override.serverId;
+  if (owner === undefined || owner === noServerId) return;
+  if (owner === move.toServerId) return;
+  if (override === undefined && move.toServerId === undefined) return;
+  draft.withdrawKey(key, owner, {
+    reason: move.reason,
+    toServerId: move.toServerId,
+  });
+}
+
+function giveReleasedKey(
+  draft: RowDraft,
+  { input, release, cause }: {
+    readonly input: ShardPlanInput;
+    readonly release: PendingRelease;
+    readonly cause: MoveCause;
+  },
+): void {
+  const key = release.key!;
+  if (isServerUsable(draft, release.toServerId)) {
+    draft.giveKey(key, release.toServerId!, cause);
+    return;
+  }
+  const shard = computeShard(input.hash, key, input.definition);
+  draft.endOverride(key, shard, cause);
+}
+
+function createInput(
+  draft: RowDraft,
+  input: ShardPlanInput,
+): PlacementInput {
+  const servers = [...draft.servers.values()]
+    .filter((server) => isUsable(server.state))
+    .sort((a, b) => a.serverId < b.serverId ? -1 : 1);
+  const budget = Math.ceil(input.definition.shardCount * maxMovingShare);
+  const movingCount = listMoving(draft).size;
+  return {
+    definition: input.definition,
+    servers: servers.map(({ serverId, dataCentre }) => ({
+      serverId,
+      dataCentre,
+      acceptsMoves: true,
+    })),
+    shardOwners: draft.owners,
+    shardRates: computeShardRates(draft, input),
+    overrides: new Map(
+      [...draft.overrides]
+        .filter(([, { serverId }]) => serverId !== noServerId)
+        .map(([key, { serverId }]) => [key, serverId]),
+    ),
+    hotKeys: listHotKeys(draft, input),
+    moveBudget: input.mayRebalance ? Math.max(0, budget - movingCount) : 0,
+  };
+}
+
+/** Spreads the observed rate of each server evenly over its shards. */
+function computeShardRates(
+  draft: RowDraft,
+  { tryGetFigures }: ShardPlanInput,
+): readonly number[] {
+  const counts = new Map<ServerId, number>();
+  for (const owner of draft.owners) {
+    if (owner !== undefined) counts.set(owner, (counts.get(owner) ?? 0) + 1);
+  }
+  return draft.owners.map((owner) => {
+    if (owner === undefined) return 0;
+    const rate = tryGetFigures(owner)?.requestsPerSecond ?? 0;
+    return rate / counts.get(owner)!;
+  });
+}
+
+function listHotKeys(
+  draft: RowDraft,
+  { tryGetFigures }: ShardPlanInput,
+): readonly KeyRate[] {
+  return [...draft.servers.keys()]
+    .flatMap((serverId) => tryGetFigures(serverId)?.hotKeys ?? [])
+    .sort((a, b) => b.requestsPerSecond - a.requestsPerSecond);
+}
+
+function listShardsOf(draft: RowDraft, serverId: ServerId): readonly number[] {
+  return [...draft.owners.keys()]
+    .filter((shard) => draft.owners[shard] === serverId);
+}
+
+/** The shards whose last owner has not released them. */
+function listMoving(draft: RowDraft): ReadonlySet<number> {
+  return new Set(draft.pendingReleases.flatMap(({ shards }) => shards));
+}
+
+function listCauses(
+  released: readonly PendingRelease[],
+): ReadonlyMap<number, MoveCause> {
+  const causes = released.flatMap((release) =>
+    release.shards.map((shard) =>
+      [shard, {
+        reason: release.reason,
+        fromServerId: release.serverId,
+      }] as const
+    )
+  );
+  return new Map(causes);
+}
+
+function isServerUsable(
+  draft: RowDraft,
+  serverId: ServerId | undefined,
+): boolean {
+  const server = draft.servers.get(serverId ?? noServerId);
+  return server !== undefined && isUsable(server.state);
+}
--- /dev/null
+++ b/src/services/ownership/sync_handler.ts
@@ -0,0 +1,94 @@
+/**
+ * Answers the reports of other daemons, as their parent in the tree or as
+ * coordinator, and gives promises to candidates.
+ */
+import type { ControlState } from "./control_state.ts";
+import { isUrgentState } from "./server_states.ts";
+import type {
+  PromiseAnswer,
+  PromiseRequest,
+  SyncAnswer,
+  SyncReport,
+} from "./sync_messages.ts";
+import { tryGetParent } from "./sync_tree.ts";
+
+interface GivenPermit {
+  readonly permitRemainingMs: number;
+  readonly tokenMs: number | undefined;
+}
+
+const noPermit: GivenPermit = { permitRemainingMs: 0, tokenMs: undefined };
+
+/** Takes a report and answers with what is newer here. */
+export function answerSync(
+  state: ControlState,
+  report: SyncReport,
+): SyncAnswer {
+  for (const announcement of report.announcements) {
+    state.membership.announce(announcement);
+  }
+  const given = givePermit(state, report);
+  const view = state.record.view();
+  const isCurrent = report.membersVersion === view.membersVersion;
+  return {
+    epoch: view.epoch,
+    holderId: view.holderId,
+    membersVersion: view.membersVersion,
+    members: isCurrent ? undefined : view.members,
+    assignments: state.book.newerThan(report.held),
+    announcements: state.membership.knownAnnouncements(),
+    ...given,
+  };
+}
+
+/** Promises to abandon older epochs, unless this daemon's own lease is fresh. */
+export function answerPromise(
+  state: ControlState,
+  request: PromiseRequest,
+): PromiseAnswer {
+  const nowMs = state.clock.nowMs();
+  const coordinator = state.tryGetCoordinator();
+  if (coordinator?.authority.isRowFresh(nowMs) === true) {
+    return { isPromised: false, epoch: coordinator.epoch(), tokenAgeMs: 0 };
+  }
+  const answer = state.record.promise(request, nowMs);
+  if (answer.isPromised) state.stopCoordinating("promised a newer epoch");
+  return answer;
+}
+
+function givePermit(state: ControlState, report: SyncReport): GivenPermit {
+  const nowMs = state.clock.nowMs();
+  const childId = report.sender.daemonId;
+  const coordinator = state.tryGetCoordinator();
+  if (coordinator !== undefined) {
+    coordinator.receive(report, nowMs);
+    if (isUrgent(report)) state.decisions.set();
+    const permitRemainingMs = coordinator.givePermit(childId, nowMs);
+    return { permitRemainingMs, tokenMs: nowMs };
+  }
+  const parent = tryGetParent(state.record.view(), childId);
+  if (parent?.daemonId !== state.selfId()) return noPermit;
+  state.relay.add(
+    report.epoch === state.record.view().epoch
+      ? report
+      : { ...report, heard: withoutTokens(report) },
+  );
+  if (isUrgent(report)) state.urgent.set();
+  return {
+    permitRemainingMs: Math.max(0, state.permit.expiresAtMs() - nowMs),
+    tokenMs: state.record.confirmedTokenMs(),
+  };
+}
+
+/** Whether the report should not wait for the next interval. */
+function isUrgent(report: SyncReport): boolean {
+  return report.releases.length > 0 ||
+    report.observations.some(({ observation }) =>
+      isUrgentState(observation.state)
+    );
+}
+
+/** Tokens of another epoch confirm nothing. */
+function withoutTokens(report: SyncReport): SyncReport["heard"] {
+  return report.heard.map(({ daemon }) => ({ daemon, tokenMs: undefined }));
+}
--- /dev/null
+++ b/src/services/ownership/sync_messages.ts
@@ -0,0 +1,85 @@
+/** What daemons tell each other for control, apart from its encoding. */
+import type { DaemonId, DaemonInfo } from "../../types/types.ts";
+import type { Announcement } from "../membership/membership.ts";
+import type { AssignmentRow } from "./assignment_codec.ts";
+import type { ServerObservation } from "./ownership.ts";
+
+/** The coordinator of an epoch and its members, as a daemon knows them. */
+export interface CoordinatorView {
+  readonly epoch: number;
+  readonly holderId: DaemonId;
+  readonly membersVersion: number;
+  readonly members: readonly DaemonInfo[];
+}
+
+/** A daemon that reported, directly or through its parent. */
+export interface HeardDaemon {
+  readonly daemon: DaemonInfo;
+  /**
+   * The newest token the daemon received from the coordinator, in the
+   * coordinator's own monotonic time; undefined when it confirms nothing.
+   */
+  readonly tokenMs: number | undefined;
+}
+
+/** A home's statement that it has nothing in flight which a version forbids. */
+export interface ReleaseReport {
+  readonly daemonId: DaemonId;
+  readonly service: string;
+  readonly version: number;
+}
+
+/** An observation and the home that made it. */
+export interface ReportedObservation {
+  readonly observerId: DaemonId;
+  readonly observation: ServerObservation;
+}
+
+/** The version of one service's assignment that a daemon holds. */
+export interface HeldVersion {
+  readonly service: string;
+  readonly version: number;
+}
+
+/** A daemon's report to its parent. */
+export interface SyncReport {
+  readonly sender: DaemonInfo;
+  readonly epoch: number;
+  readonly membersVersion: number;
+  /** The sender confirms no epoch below this one. */
+  readonly promisedEpoch: number;
+  readonly held: readonly HeldVersion[];
+  /** The sender and those of its children that reported to it. */
+  readonly heard: readonly HeardDaemon[];
+  readonly releases: readonly ReleaseReport[];
+  readonly observations: readonly ReportedObservation[];
+  readonly announcements: readonly Announcement[];
+}
+
+/** The parent's answer. */
+export interface SyncAnswer {
+  readonly epoch: number;
+  readonly holderId: DaemonId;
+  readonly membersVersion: number;
+  /** Undefined when the sender's version is current. */
+  readonly members: readonly DaemonInfo[] | undefined;
+  readonly assignments: readonly AssignmentRow[];
+  /** 0 when the answering daemon may not extend the sender's permit. */
+  readonly permitRemainingMs: number;
+  readonly tokenMs: number | undefined;
+  readonly announcements: readonly Announcement[];
+}
+
+/** A candidate's request to abandon every epoch below `epoch`. */
+export interface PromiseRequest {
+  readonly candidate: DaemonInfo;
+  readonly epoch: number;
+}
+
+/** A member's answer to a candidate. */
+export interface PromiseAnswer {
+  readonly isPromised: boolean;
+  readonly epoch: number;
+  /** Time since the member last received a token of its epoch. */
+  readonly tokenAgeMs: number;
+}
--- /dev/null
+++ b/src/services/ownership/view_reader.ts
@@ -0,0 +1,30 @@
+/** Brings a daemon's view up to date with the lease row. */
+import type { ControlState } from "./control_state.ts";
+import { vacantHolderId } from "./coordinator_row.ts";
+import type { LeaseStore, ReadLease } from "./lease_store.ts";
+
+/**
+ * Takes the view that a lease row shows, with the members that belong to it.
+ * Does nothing when the view is not newer, or when the members row cannot be
+ * read together with the lease.
+ */
+export async function learnLease(
+  state: ControlState,
+  { store, read }: { readonly store: LeaseStore; readonly read: ReadLease },
+): Promise<void> {
+  const lease = read.lease;
+  const view = state.record.view();
+  if (lease === undefined || lease.epoch < view.epoch) return;
+  if (lease.holderId === vacantHolderId) return;
+  const isSameEpoch = lease.epoch === view.epoch;
+  if (isSameEpoch && lease.membersVersion <= view.membersVersion) return;
+  const isCurrent = lease.membersVersion === view.membersVersion;
+  const members = isCurrent ? view : await store.tryReadMembers();
+  if (members?.membersVersion !== lease.membersVersion) return;
+  state.learnView({
+    epoch: lease.epoch,
+    holderId: lease.holderId,
+    membersVersion: lease.membersVersion,
+    members: members.members,
+  });
+}
--- /dev/null
+++ b/src/testing/invariant_checker_test.ts
@@ -0,0 +1,89 @@
+import * as assert from "uvu/assert";
+import { describe, it } from "./describe.ts";
+import type { FakeExecution } from "./fake_backend.ts";
+import {
+  computeLongestGapMs,
+  findViolations,
+  InvariantKind,
+} from "./invariant_checker.ts";
+
+function createExecution(parts: Partial<FakeExecution>): FakeExecution {
+  return {
+    serverId: "server-0",
+    service: "roster",
+    key: "key",
+    requestId: "request",
+    idempotencyKey: undefined,
+    isIdempotent: true,
+    fence: 1,
+    startedAtMs: 0,
+    finishedAtMs: 10,
+    ...parts,
+  };
+}
+
+function kindsOf(...parts: Partial<FakeExecution>[]): InvariantKind[] {
+  return findViolations(parts.map(createExecution)).map(({ kind }) => kind);
+}
+
+describe("invariant checker", () => {
+  describe("owners of a key", () => {
+    it("accepts one owner after another under a higher fence", () => {
+      assert.equal(
+        kindsOf({}, { serverId: "server-1", fence: 2, startedAtMs: 10 }),
+        [],
+      );
+    });
+
+    it("reports two owners at once", () => {
+      assert.equal(
+        kindsOf({}, { serverId: "server-1", fence: 2, startedAtMs: 9 }),
+        [InvariantKind.TwoOwners],
+      );
+    });
+
+    it("reports an owner that never finished", () => {
+      assert.equal(
+        kindsOf(
+          { finishedAtMs: Number.POSITIVE_INFINITY },
+          { startedAtMs: 1, finishedAtMs: 2 },
+          { serverId: "server-1", fence: 2, startedAtMs: 50 },
+        ),
+        [InvariantKind.TwoOwners],
+      );
+    });
+
+    it("reports a fence that falls and a fence of two servers", () => {
+      assert.equal(
+        kindsOf({ fence: 2 }, { startedAtMs: 20 }),
+        [InvariantKind.FenceFell],
+      );
+      assert.equal(
+        kindsOf({}, { serverId: "server-1", startedAtMs: 20 }),
+        [InvariantKind.FenceShared],
+      );
+    });
+  });
+
+  describe("runs of a request", () => {
+    it("reports a non-idempotent request that ran twice", () => {
+      const parts = { isIdempotent: false, idempotencyKey: "confirm-1" };
+      assert.equal(
+        kindsOf({ ...parts, requestId: "a" }, {
+          ...parts,
+          requestId: "b",
+          startedAtMs: 20,
+        }),
+        [InvariantKind.RanTwice],
+      );
+    });
+  });
+
+  describe("gaps", () => {
+    it("counts from the edges of the window", () => {
+      const executions = [createExecution({ startedAtMs: 40 })];
+      const gaps = computeLongestGapMs(executions, { fromMs: 0, toMs: 100 });
+      assert.is(gaps.get("key"), 60);
+    });
+  });
+});
--- /dev/null
+++ b/src/testing/key_traffic.ts
@@ -0,0 +1,80 @@
+/**
+ * Steady requests for a set of keys through the daemons of a test fleet. The
+ * results stand in the backend servers' own logs.
+ */
+import { computeLongestGapMs, findViolations } from "./invariant_checker.ts";
+import type { Violation } from "./invariant_checker.ts";
+import type { TestDaemon, TestFleet } from "./test_fleet.ts";
+
+/** What to send. */
+export interface KeyTrafficOptions {
+  readonly keyCount: number;
+  readonly intervalMs: number;
+  readonly deadlineMs: number;
+}
+
+const defaultOptions: KeyTrafficOptions = {
+  keyCount: 24,
+  intervalMs: 100,
+  deadlineMs: 2_000,
+};
+
+/** Sends one request for each key in each interval. */
+export class KeyTraffic {
+  readonly #fleet: TestFleet;
+  readonly #options: KeyTrafficOptions;
+  readonly #excluded = new Set<TestDaemon>();
+  #turn = 0;
+
+  constructor(fleet: TestFleet, options: Partial<KeyTrafficOptions> = {}) {
+    this.#fleet = fleet;
+    this.#options = { ...defaultOptions, ...options };
+  }
+
+  /** Stops sending through a daemon, as the balancer would. */
+  exclude(daemon: TestDaemon): void {
+    this.#excluded.add(daemon);
+  }
+
+  /** Sends through a daemon again. */
+  include(daemon: TestDaemon): void {
+    this.#excluded.delete(daemon);
+  }
+
+  /** Sends for `durationMs` of virtual time. */
+  async run(durationMs: number): Promise<void> {
+    const { intervalMs } = this.#options;
+    for (let elapsed = 0; elapsed < durationMs; elapsed += intervalMs) {
+      this.#sendAll();
+      await this.#fleet.clock.advance(intervalMs);
+    }
+  }
+
+  /** Longest time without service of any key that was served since `fromMs`. */
+  longestGapMs(fromMs: number): number {
+    const toMs = this.#fleet.clock.nowMs();
+    const executions = this.#fleet.backends.executions();
+    const gaps = computeLongestGapMs(executions, { fromMs, toMs });
+    if (gaps.size < this.#options.keyCount) return toMs - fromMs;
+    return Math.max(...gaps.values());
+  }
+
+  /** Breaches that the backend servers' logs show. */
+  violations(): readonly Violation[] {
+    return findViolations(this.#fleet.backends.executions());
+  }
+
+  #sendAll(): void {
+    const daemons = this.#fleet.daemons
+      .filter((daemon) => !this.#excluded.has(daemon));
+    for (let index = 0; index < this.#options.keyCount; index++) {
+      const daemon = daemons[(this.#turn + index) % daemons.length]!;
+      const request = this.#fleet.createRequest({
+        key: `key-${index}`,
+        deadlineAtMs: this.#fleet.clock.nowMs() + this.#options.deadlineMs,
+      });
+      this.#fleet.deliver(daemon, request).catch(() => {});
+    }
+    this.#turn += 1;
+  }
+}
--- a/src/testing/test_fleet.ts
+++ b/src/testing/test_fleet.ts
@@ -246,8 +246,10 @@
       daemonId,
       peerAddress: address,
       dataCentre,
+      region: "region",
       services: [this.definition],
       permitDurationMs: 1_800,
+      leaseDurationMs: 1_000,
       ownershipIntervalMs: 300,
       ...this.#options.settings,
     });
