--- a/src/diagnostics/messages.ts
+++ b/src/diagnostics/messages.ts
@@ -37,6 +37,7 @@
   PlatformAnswerLost = "SR7002",
   ListInvalid = "SR8001",
   ListConflict = "SR8002",
+  ListsMissing = "SR8003",
   Internal = "SR9001",
 }
 
@@ -75,6 +76,7 @@
     "the platform's answer was lost; the write may have taken effect: {0}",
   [MessageCode.ListInvalid]: "{0}",
   [MessageCode.ListConflict]: "the lists changed since they were read: {0}",
+  [MessageCode.ListsMissing]: "no lists are in force yet",
   [MessageCode.Internal]: "internal error: {0}",
 };
 
--- a/src/services/entry/refusal.ts
+++ b/src/services/entry/refusal.ts
@@ -54,5 +54,6 @@
   [MessageCode.Overloaded]: 503,
   [MessageCode.RetryBudgetSpent]: 503,
   [MessageCode.RepeatInProgress]: 409,
+  [MessageCode.ListsMissing]: 503,
   [MessageCode.Internal]: 500,
 };
--- /dev/null
+++ b/src/services/lists/list_issue.ts
@@ -0,0 +1,36 @@
+/** One fault of a list, and its rendering for operators. */
+import type { ListName } from "./list_schema.ts";
+
+/** A path of keys from the root of a list. */
+export type ListPath = readonly string[];
+
+/** Where a fault is in the text; both count from 1. */
+export interface ListPosition {
+  readonly line: number;
+  readonly column: number;
+}
+
+/** One fault or warning. */
+export interface ListIssue extends ListPosition {
+  readonly listName: ListName;
+  readonly path: ListPath;
+  /** The value found, as JSON; undefined when the field is missing. */
+  readonly value: string | undefined;
+  readonly unit: string | undefined;
+  readonly problem: string;
+}
+
+/** `allowances.yaml:4:11 plans.gold.rank is "high": ...`. */
+export function formatListIssue(issue: ListIssue): string {
+  const place = `${issue.listName}:${issue.line}:${issue.column}`;
+  const field = issue.path.length === 0 ? "the list" : issue.path.join(".");
+  const unit = issue.unit === undefined ? "" : ` [${issue.unit}]`;
+  const value = issue.value === undefined ? "" : ` is ${issue.value}`;
+  return `${place} ${field}${unit}${value}: ${issue.problem}`;
+}
+
+/** Orders issues by list, line and column. */
+export function compareListIssues(a: ListIssue, b: ListIssue): number {
+  if (a.listName !== b.listName) return a.listName < b.listName ? 1 : -1;
+  return a.line - b.line || a.column - b.column;
+}
--- a/src/types/enums.ts
+++ b/src/types/enums.ts
@@ -74,3 +74,13 @@
   Ready = "ready",
   Draining = "draining",
 }
+
+/** How current the lists are that a daemon has in force. */
+export enum ListsFreshness {
+  /** No lists are known; the daemon is not ready. */
+  Missing = "missing",
+  /** Taken from a peer; the platform has not been read since the start. */
+  PossiblyStale = "possibly-stale",
+  /** Read from the platform since the start. */
+  Confirmed = "confirmed",
+}
--- a/src/types/types.ts
+++ b/src/types/types.ts
@@ -144,6 +144,8 @@
   readonly kind: WindowKind;
   readonly count: number;
   readonly windowMs: number;
+  /** Line of the list of allowances that sets this window. */
+  readonly listLine: number;
 }
 
 /** The two lists, accepted together under one version. */
