Store, spread and resolve accepted lists

Cause: a change must take effect everywhere within seconds, survive lost answers and racing operators, and never go back. Ruled out: a row for each daemon (640 writes for a change); a poll of fixed 2 s at any size (320 reads a second at 640 daemons); rewriting after a lost answer without looking for the write's identifier.

--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -13,6 +13,7 @@
 import { RetryingDelivery } from "../services/delivery/retrying_delivery.ts";
 import { HttpEntry } from "../services/entry/http_entry.ts";
 import { SlotHome } from "../services/home/slot_home.ts";
+import { StoredLists } from "../services/lists/stored_lists.ts";
 import { ConsolaLog } from "../services/log/consola_log.ts";
 import { DirectoryMembership } from "../services/membership/directory_membership.ts";
 import { StatsdMetrics } from "../services/metrics/statsd_metrics.ts";
@@ -114,6 +115,7 @@
     )
     .register(new SlotHome())
     .register(new RetryingDelivery())
+    .register(new StoredLists())
     .register(new OpenAdmission());
 }
 
--- /dev/null
+++ b/src/services/lists/list_difference.ts
@@ -0,0 +1,57 @@
+/** A readable difference between two versions of the lists. */
+import { ListName } from "./list_schema.ts";
+import type { ListTexts } from "./lists.ts";
+
+const maxShownLineCount = 40;
+
+/** Renders lines that only one side has, with their line numbers. */
+export function formatDifference(before: ListTexts, after: ListTexts): string {
+  const lines = [
+    ...compareTexts(ListName.Plans, before.plansText, after.plansText),
+    ...compareTexts(
+      ListName.Allowances,
+      before.allowancesText,
+      after.allowancesText,
+    ),
+  ];
+  const hiddenCount = lines.length - maxShownLineCount;
+  if (hiddenCount <= 0) return lines.join("\n");
+  const shown = lines.slice(0, maxShownLineCount);
+  return [...shown, `... ${hiddenCount} more lines`].join("\n");
+}
+
+function compareTexts(
+  listName: ListName,
+  before: string,
+  after: string,
+): string[] {
+  const beforeLines = before.split("\n");
+  const afterLines = after.split("\n");
+  return [
+    ...findMissing(beforeLines, afterLines)
+      .map(({ line, text }) => `- ${listName}:${line} ${text}`),
+    ...findMissing(afterLines, beforeLines)
+      .map(({ line, text }) => `+ ${listName}:${line} ${text}`),
+  ];
+}
+
+interface NumberedLine {
+  readonly line: number;
+  readonly text: string;
+}
+
+/** Lines of one text that the other lacks, counting repeats. */
+function findMissing(
+  lines: readonly string[],
+  otherLines: readonly string[],
+): NumberedLine[] {
+  const counts = new Map<string, number>();
+  for (const text of otherLines) counts.set(text, (counts.get(text) ?? 0) + 1);
+  const missing: NumberedLine[] = [];
+  for (const [index, text] of lines.entries()) {
+    const count = counts.get(text) ?? 0;
+    if (count > 0) counts.set(text, count - 1);
+    else missing.push({ line: index + 1, text });
+  }
+  return missing;
+}
--- a/src/services/lists/lists.ts
+++ b/src/services/lists/lists.ts
@@ -3,6 +3,7 @@
 import type { Result } from "neverthrow";
 import { Service } from "../../kernel/service.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
+import type { ListsFreshness } from "../../types/enums.ts";
 import type { RouterError } from "../../types/errors.ts";
 import type { AcceptedLists } from "../../types/types.ts";
 
@@ -18,6 +19,8 @@
   readonly author: string;
   readonly wallTimeMs: number;
   readonly writeId: string;
+  /** SHA-256 of both texts, in hexadecimal. */
+  readonly contentHash: string;
 }
 
 /** Holds the lists in force and accepts changes to them. */
@@ -27,12 +30,23 @@
   /** The lists in force; undefined before the first. Never goes back. */
   abstract current(): AcceptedLists | undefined;
 
+  /**
+   * How current the lists in force are. A daemon is not ready while they are
+   * missing.
+   */
+  abstract freshness(): ListsFreshness;
+
+  /** The accepted change in force; undefined before the first. */
+  abstract currentRevision(): ListsRevision | undefined;
+
   /** The texts of the version in force; undefined before the first. */
   abstract currentTexts(): ListTexts | undefined;
 
   /**
    * Checks both lists and commits them if `baseVersion` is still in force.
-   * Fails with `ListInvalid` or `ListConflict`.
+   * Fails with `ListInvalid` or `ListConflict`; with outcome `Unknown` when
+   * the platform did not tell in time whether it took effect. Repeating the
+   * same texts is safe: they are never accepted twice.
    */
   abstract apply(
     texts: ListTexts,
--- /dev/null
+++ b/src/services/lists/stored_lists.ts
@@ -0,0 +1,250 @@
+/**
+ * Keeps the lists in force. Each daemon polls one row of the platform's
+ * table, at an interval that grows with the fleet so that the reads of all
+ * daemons stay bounded; an announcement makes it read at once. While the
+ * platform is down, a daemon without lists takes a peer's copy. Only a higher
+ * version ever replaces the one in force.
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { EventSource } from "../../streams/event_source.ts";
+import { subscribe } from "../../streams/subscribe.ts";
+import { Wakeup } from "../../streams/wakeup.ts";
+import { ListsFreshness } from "../../types/enums.ts";
+import type { RouterError } from "../../types/errors.ts";
+import type { AcceptedLists } from "../../types/types.ts";
+import { AnnouncementTopic } from "../membership/membership.ts";
+import { CounterName } from "../metrics/metrics.ts";
+import { applyLists } from "./apply_lists.ts";
+import { fetchNewestLists, registerListsService } from "./connect_lists.ts";
+import { Lists, type ListsRevision, type ListTexts } from "./lists.ts";
+import {
+  decodeRecord,
+  listRevisions,
+  listsRowKey,
+  objectNameOf,
+  tryDecodeTexts,
+} from "./lists_codec.ts";
+import { parseLists } from "./parse_lists.ts";
+
+const minPollIntervalMs = 2_000;
+/** Reads that the polls of all daemons together may cost. */
+const maxFleetReadsPerSecond = 100;
+const pollJitterFraction = 0.2;
+const retryIntervalMs = 500;
+/** Spreads the reads that follow an announcement over the fleet. */
+const announcedReadSpreadMsPerDaemon = 3;
+
+/** Lists with the revision and the texts they came from. */
+export interface HeldLists {
+  readonly revision: ListsRevision;
+  readonly texts: ListTexts;
+}
+
+/** The interval between polls of one daemon, before jitter. */
+export function computePollIntervalMs(daemonCount: number): number {
+  const millisecondsPerSecond = 1_000;
+  return Math.max(
+    minPollIntervalMs,
+    daemonCount * millisecondsPerSecond / maxFleetReadsPerSecond,
+  );
+}
+
+/** Lists kept in the platform's table and object store. */
+export class StoredLists extends Lists {
+  readonly #changes = new EventSource<AcceptedLists>();
+  readonly #stopping = new AbortController();
+  readonly #wakeup = new Wakeup();
+  #services: ServiceLookup | undefined;
+  #held: (HeldLists & { readonly accepted: AcceptedLists }) | undefined;
+  #isConfirmed = false;
+  #announcedVersion = 0;
+  #unsubscribe: () => void = () => {};
+  #refresher: Promise<void> = Promise.resolve();
+  override readonly changes = this.#changes.stream;
+
+  override get needs(): readonly ServiceName[] {
+    return [
+      ServiceName.Clock,
+      ServiceName.Random,
+      ServiceName.Log,
+      ServiceName.Metrics,
+      ServiceName.PlatformTable,
+      ServiceName.ObjectStore,
+      ServiceName.Membership,
+      ServiceName.PeerServer,
+      ServiceName.PeerTransport,
+    ];
+  }
+
+  override start(services: ServiceLookup): Promise<void> {
+    this.#services = services;
+    registerListsService(services, this);
+    this.#unsubscribe = subscribe(
+      services.get(ServiceName.Membership).announcements,
+      ({ topic, version }) => {
+        if (topic !== AnnouncementTopic.Lists) return;
+        if (version <= this.#heldVersion()) return;
+        this.#announcedVersion = Math.max(this.#announcedVersion, version);
+        this.#wakeup.wake();
+      },
+    );
+    this.#refresher = this.#refreshUntilStopped(services);
+    return Promise.resolve();
+  }
+
+  override stop(): Promise<void> {
+    this.#unsubscribe();
+    this.#stopping.abort();
+    return this.#refresher;
+  }
+
+  override current(): AcceptedLists | undefined {
+    return this.#held?.accepted;
+  }
+
+  override currentRevision(): ListsRevision | undefined {
+    return this.#held?.revision;
+  }
+
+  override currentTexts(): ListTexts | undefined {
+    return this.#held?.texts;
+  }
+
+  override freshness(): ListsFreshness {
+    if (this.#held === undefined) return ListsFreshness.Missing;
+    return this.#isConfirmed
+      ? ListsFreshness.Confirmed
+      : ListsFreshness.PossiblyStale;
+  }
+
+  override async apply(
+    texts: ListTexts,
+    options: { readonly baseVersion: number; readonly author: string },
+  ): Promise<Result<AcceptedLists, RouterError>> {
+    const services = this.#services!;
+    const metrics = services.get(ServiceName.Metrics);
+    const applied = await applyLists(services, {
+      texts,
+      ...options,
+      heldVersion: this.#heldVersion(),
+    });
+    if (applied.isErr()) {
+      metrics.count(CounterName.ListsRefused, applied.error.code);
+      return err(applied.error);
+    }
+    metrics.count(CounterName.ListsAccepted);
+    const revision = applied.value.current;
+    this.#putInForce({ revision, texts });
+    const contents = parseLists(texts).contents!;
+    return ok({ version: revision.version, ...contents });
+  }
+
+  override async revisions(): Promise<
+    Result<readonly ListsRevision[], RouterError>
+  > {
+    const row = await this.#services!.get(ServiceName.PlatformTable)
+      .read(listsRowKey);
+    return row.map((found) =>
+      found === undefined ? [] : listRevisions(decodeRecord(found.value))
+    );
+  }
+
+  async #refreshUntilStopped(services: ServiceLookup): Promise<void> {
+    const clock = services.get(ServiceName.Clock);
+    const { signal } = this.#stopping;
+    while (!signal.aborted) {
+      await this.#tryRefresh(services);
+      await this.#wakeup.sleep(clock, this.#nextDelayMs(services), signal);
+      if (this.#announcedVersion <= this.#heldVersion()) continue;
+      await clock.sleep(this.#announcedDelayMs(services), signal);
+    }
+  }
+
+  #nextDelayMs(services: ServiceLookup): number {
+    if (this.#held === undefined) return retryIntervalMs;
+    const random = services.get(ServiceName.Random);
+    const daemonCount = services.get(ServiceName.Membership).daemons().length;
+    const jitter = (random.nextFraction() * 2 - 1) * pollJitterFraction;
+    return computePollIntervalMs(daemonCount) * (1 + jitter);
+  }
+
+  #announcedDelayMs(services: ServiceLookup): number {
+    const daemonCount = services.get(ServiceName.Membership).daemons().length;
+    return services.get(ServiceName.Random).nextFraction() * daemonCount *
+      announcedReadSpreadMsPerDaemon;
+  }
+
+  /** A row or answer that can't be read leaves the lists as they are. */
+  async #tryRefresh(services: ServiceLookup): Promise<void> {
+    try {
+      await this.#refresh(services);
+    } catch {
+      services.get(ServiceName.Metrics)
+        .count(CounterName.PlatformErrors, "lists");
+    }
+  }
+
+  async #refresh(services: ServiceLookup): Promise<void> {
+    const row = await services.get(ServiceName.PlatformTable)
+      .read(listsRowKey);
+    if (row.isErr()) return await this.#refreshFromPeers(services);
+    if (row.value === undefined) return;
+    const { current } = decodeRecord(row.value.value);
+    if (current.version < this.#heldVersion()) {
+      services.get(ServiceName.Metrics).count(CounterName.ListsStaleIgnored);
+      return;
+    }
+    if (current.version > this.#heldVersion()) {
+      const texts = await this.#tryReadTexts(services, current);
+      if (texts === undefined) return await this.#refreshFromPeers(services);
+      this.#putInForce({ revision: current, texts });
+    }
+    this.#isConfirmed = true;
+  }
+
+  async #tryReadTexts(
+    services: ServiceLookup,
+    revision: ListsRevision,
+  ): Promise<ListTexts | undefined> {
+    const content = await services.get(ServiceName.ObjectStore)
+      .getObject(objectNameOf(revision));
+    if (content.isErr() || content.value === undefined) return undefined;
+    return tryDecodeTexts(content.value, revision.contentHash);
+  }
+
+  /** Asks peers when this daemon has no lists, or knows of newer ones. */
+  async #refreshFromPeers(services: ServiceLookup): Promise<void> {
+    const isBehind = this.#held === undefined ||
+      this.#announcedVersion > this.#heldVersion();
+    if (!isBehind) return;
+    const newest = await fetchNewestLists(services);
+    if (newest === undefined) return;
+    services.get(ServiceName.Metrics).count(CounterName.ListsFetchedFromPeer);
+    this.#putInForce(newest);
+  }
+
+  /** The only place that replaces the lists in force. */
+  #putInForce({ revision, texts }: HeldLists): void {
+    if (revision.version <= this.#heldVersion()) return;
+    const services = this.#services!;
+    const log = services.get(ServiceName.Log);
+    const { version } = revision;
+    const { contents } = parseLists(texts);
+    if (contents === undefined) {
+      log.error("accepted lists are not readable", { version });
+      return;
+    }
+    const accepted = { version, ...contents };
+    this.#held = { revision, texts, accepted };
+    log.info("lists in force", { version, author: revision.author });
+    this.#changes.publish(accepted);
+    services.get(ServiceName.Membership)
+      .announce({ topic: AnnouncementTopic.Lists, version });
+  }
+
+  #heldVersion(): number {
+    return this.#held?.revision.version ?? 0;
+  }
+}
--- a/src/services/metrics/metrics.ts
+++ b/src/services/metrics/metrics.ts
@@ -32,6 +32,8 @@
   ProbesSent = "probes.sent",
   ListsAccepted = "lists.accepted",
   ListsRefused = "lists.refused",
+  ListsStaleIgnored = "lists.stale_ignored",
+  ListsFetchedFromPeer = "lists.fetched_from_peer",
 }
 
 /** The parts of a request's time that are recorded. */
--- /dev/null
+++ b/src/testing/test_lists.ts
@@ -0,0 +1,41 @@
+/** List texts for tests. */
+import type { ListTexts } from "../services/lists/lists.ts";
+
+/** The two windows of the one plan of the test lists. */
+export interface TestAllowance {
+  readonly burstCount: number;
+  readonly burstWindowMs: number;
+  readonly sustainedCount: number;
+  readonly sustainedWindowMs: number;
+}
+
+const defaultAllowance: TestAllowance = {
+  burstCount: 100,
+  burstWindowMs: 1_000,
+  sustainedCount: 1_000,
+  sustainedWindowMs: 10_000,
+};
+
+/** Two customers, `customer` and `other`, on one plan, for live reads. */
+export function createListTexts(
+  parts: Partial<TestAllowance> = {},
+): ListTexts {
+  const allowance = { ...defaultAllowance, ...parts };
+  return {
+    plansText: "customers:\n  customer: basic\n  other: basic\n",
+    allowancesText: [
+      "plans:",
+      "  basic:",
+      "    rank: 10",
+      "    allowances:",
+      "      live-read:",
+      "        burst:",
+      `          requestCount: ${allowance.burstCount}`,
+      `          windowMs: ${allowance.burstWindowMs}`,
+      "        sustained:",
+      `          requestCount: ${allowance.sustainedCount}`,
+      `          windowMs: ${allowance.sustainedWindowMs}`,
+      "",
+    ].join("\n"),
+  };
+}
