--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -13,14 +13,16 @@
 import { RetryingDelivery } from "../services/delivery/retrying_delivery.ts";
 import { HttpEntry } from "../services/entry/http_entry.ts";
 import { SlotHome } from "../services/home/slot_home.ts";
+import { DaemonLifecycle } from "../services/lifecycle/daemon_lifecycle.ts";
 import { ConsolaLog } from "../services/log/consola_log.ts";
 import { DirectoryMembership } from "../services/membership/directory_membership.ts";
 import { StatsdMetrics } from "../services/metrics/statsd_metrics.ts";
 import { ConnectOperator } from "../services/operator/connect_operator.ts";
+import { AdmittingPipeline } from "../services/pipeline/admitting_pipeline.ts";
 import { TableOwnership } from "../services/ownership/table_ownership.ts";
 import { HttpPeerServer } from "../services/peers/http_peer_server.ts";
 import { HttpPeerTransport } from "../services/peers/http_peer_transport.ts";
-import type { Settings } from "./settings.ts";
+import type { Settings } from "./settings_schema.ts";
 
 const connectTimeoutMs = 500;
 const peerCallTimeoutMs = 1_000;
@@ -114,7 +116,8 @@
     )
     .register(new SlotHome())
     .register(new RetryingDelivery())
-    .register(new OpenAdmission());
+    .register(new OpenAdmission())
+    .register(new AdmittingPipeline());
 }
 
 function registerFaces(kernel: Kernel, settings: Settings): void {
@@ -123,8 +126,10 @@
       new HttpPeerServer({
         ...splitAddress(settings.peerAddress),
         secret: settings.peerSecret,
+        maxHeaderBytes: settings.maxHeaderBytes,
       }),
     )
+    .register(new DaemonLifecycle())
     .register(new ConnectOperator())
     .register(
       new HttpEntry({ ...settings, ...splitAddress(settings.entryAddress) }),
@@ -139,6 +144,7 @@
 function splitAddress(
   address: string,
 ): { readonly host: string; readonly port: number } {
-  const [host = "", port = ""] = address.split(":");
-  return { host, port: Number(port) };
+  const portIndex = address.lastIndexOf(":");
+  const host = address.slice(0, portIndex).replace(/^\[|\]$/g, "");
+  return { host, port: Number(address.slice(portIndex + 1)) };
 }
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,57 +1,109 @@
 #!/usr/bin/env node
-/** `skylarkridged`: starts one daemon and stops it on SIGTERM or SIGINT. */
-import meow from "meow";
-import { createDaemon } from "./create_daemon.ts";
+/**
+ * `skylarkridged`: starts one daemon, and drains it on SIGTERM, SIGINT or an
+ * operator's order. A second signal ends the process at once.
+ */
 import {
-  environmentName,
-  flagName,
-  parseSettings,
-  settingNames,
-} from "./settings.ts";
-
-const exitUsage = 2;
-const exitFailure = 1;
-
-function createHelp(): string {
-  const lines = settingNames.map((name) =>
-    `    ${flagName(name).padEnd(28)} ${environmentName(name)}`
-  );
-  return `
-  Usage
-    $ skylarkridged [flags]
-
-  Settings (a flag goes before its environment variable)
-${lines.join("\n")}
-`;
-}
-
-async function main(): Promise<void> {
-  const cli = meow(createHelp(), {
+  CommandLineRequest,
+  createUsageError,
+  readCommandLine,
+} from "../command_line/command_line.ts";
+import { MessageCode } from "../diagnostics/messages.ts";
+import { ServiceName } from "../kernel/service_name.ts";
+import type { Kernel } from "../kernel/kernel.ts";
+import { toRouterError } from "../types/errors.ts";
+import { createDaemon } from "./create_daemon.ts";
+import { DaemonExitCode } from "./exit_code.ts";
+import { createSettingFlags, parseSettings } from "./settings.ts";
+import type { Settings } from "./settings_schema.ts";
+import { createSettingsHelp } from "./settings_text.ts";
+
+const stopSignals = ["SIGTERM", "SIGINT"] as const;
+
+async function main(): Promise<DaemonExitCode> {
+  const line = readCommandLine({
     importMeta: import.meta,
-    description: "Routes requests to servers that own keys exclusively",
+    arguments: process.argv.slice(2),
+    flags: createSettingFlags(),
+    help: createSettingsHelp(),
   });
-  const settings = parseSettings(cli.flags, process.env);
-  if (settings.isErr()) {
-    console.error(settings.error.message);
-    process.exitCode = exitUsage;
-    return;
+  if (line.isErr()) return reportUsage(line.error);
+  switch (line.value.request) {
+    case CommandLineRequest.Help:
+      console.log(createSettingsHelp());
+      return DaemonExitCode.Success;
+    case CommandLineRequest.Version:
+      console.log(line.value.version);
+      return DaemonExitCode.Success;
+    case CommandLineRequest.Run:
   }
-  const daemon = createDaemon(settings.value);
+  const [unexpected] = line.value.input;
+  if (unexpected !== undefined) {
+    return reportUsage(createUsageError(`unexpected argument ${unexpected}`));
+  }
+  const settings = parseSettings(line.value.flags, process.env);
+  if (settings.isErr()) return reportUsage(settings.error);
+  return await runDaemon(settings.value);
+}
+
+function reportUsage(error: { readonly message: string }): DaemonExitCode {
+  console.error(error.message);
+  return DaemonExitCode.Usage;
+}
+
+async function runDaemon(settings: Settings): Promise<DaemonExitCode> {
+  const daemon = createDaemon(settings);
+  reportUnhandledErrors(daemon);
+  void endOnSecondSignal();
+  const leave = waitForLeave(daemon);
   await daemon.start();
-  await waitForStopSignal();
+  await leave;
   await daemon.stop();
+  return DaemonExitCode.Success;
+}
+
+/** Waits for a signal or for an operator's order to drain. */
+async function waitForLeave(daemon: Kernel): Promise<void> {
+  const lifecycle = daemon.get(ServiceName.Lifecycle);
+  await Promise.race([waitForSignals(1), lifecycle.waitForDraining()]);
+  lifecycle.beginDraining();
+}
+
+async function endOnSecondSignal(): Promise<void> {
+  await waitForSignals(2);
+  process.exit(DaemonExitCode.Forced);
 }
 
-function waitForStopSignal(): Promise<void> {
+/** Resolves when `count` stop signals have arrived from now on. */
+function waitForSignals(count: number): Promise<void> {
+  let remainingCount = count;
   return new Promise((resolve) => {
-    process.once("SIGTERM", () => resolve());
-    process.once("SIGINT", () => resolve());
+    function onSignal(): void {
+      remainingCount -= 1;
+      if (remainingCount === 0) resolve();
+    }
+    for (const signal of stopSignals) process.on(signal, onSignal);
+  });
+}
+
+/** Logs what no task handled, and ends: the daemon's state is unknown. */
+function reportUnhandledErrors(daemon: Kernel): void {
+  process.on("uncaughtException", (error) => {
+    const failure = toRouterError(error, MessageCode.Internal, {
+      step: "run daemon",
+    });
+    daemon.get(ServiceName.Log).error("unhandled error", {
+      code: failure.code,
+      error: failure.message,
+      stack: error instanceof Error ? error.stack : undefined,
+    });
+    process.exit(DaemonExitCode.Failure);
   });
 }
 
 try {
-  await main();
+  process.exitCode = await main();
 } catch (error) {
   console.error(error instanceof Error ? error.message : error);
-  process.exit(exitFailure);
+  process.exit(DaemonExitCode.Failure);
 }
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -1,73 +1,38 @@
 /**
- * The daemon's settings: each is a flag and an environment variable, checked
- * whole at start. A bad setting names the flag, the variable, the value and
- * what is allowed.
+ * Reads the daemon's settings from flags and environment variables and checks
+ * them whole. A bad setting gives one line with the flag, the variable, the
+ * value and what is allowed; the value of a secret is never shown.
  */
-import { parse as parseYaml } from "yaml";
-import { z } from "zod";
 import { err, ok, type Result } from "neverthrow";
+import type { z } from "zod";
+import { flagName } from "../command_line/command_line.ts";
+import { formatSuggestion } from "../command_line/nearest_name.ts";
 import { MessageCode } from "../diagnostics/messages.ts";
-import { LogFormat } from "../services/log/consola_log.ts";
-import { FencingMode, RequestClass } from "../types/enums.ts";
 import { RouterError } from "../types/errors.ts";
+import {
+  getSettingDescription,
+  secretSettingNames,
+  type SettingName,
+  settingNames,
+  type Settings,
+  settingsSchema,
+} from "./settings_schema.ts";
 
 /** Environment variables are the flag in capitals after this prefix. */
 export const environmentPrefix = "SKYLARKRIDGE_";
 
-const addressSchema = z.string().regex(/^[^:\s]+:\d{1,5}$/, "host:port");
+const minSyncsPerPermit = 3;
+const maxShownLength = 80;
 
-const serviceDefinitionsSchema = z.array(z.strictObject({
-  name: z.string().regex(/^[a-z][a-z0-9-]*$/),
-  requestClass: z.enum(RequestClass),
-  shardCount: z.number().int().min(1).max(65_536).default(256),
-  fencingMode: z.enum(FencingMode),
-  slotsPerServer: z.number().int().min(1).default(3),
-  connectionsPerServer: z.number().int().min(2).default(50),
-  churnWeight: z.number().min(0).default(1),
-})).min(1);
+/** The flags of the daemon, as meow takes them. */
+export type SettingFlags = {
+  readonly [N in SettingName]: { readonly type: "string" };
+};
 
-function parseServices(text: string, context: z.RefinementCtx) {
-  const parsed = serviceDefinitionsSchema.safeParse(parseYaml(text));
-  if (parsed.success) return parsed.data;
-  context.addIssue({ code: "custom", message: z.prettifyError(parsed.error) });
-  return z.NEVER;
-}
-
-const settingsSchema = z.strictObject({
-  daemonId: z.string().min(1),
-  dataCentre: z.string().min(1),
-  entryAddress: addressSchema,
-  peerAddress: addressSchema,
-  platformAddress: addressSchema,
-  peerSecret: z.string().min(16, "at least 16 characters"),
-  services: z.string().transform(parseServices),
-  statsdAddress: addressSchema.optional(),
-  logFormat: z.enum(LogFormat).default(LogFormat.Text),
-  platformTimeoutMs: z.coerce.number().int().min(10).default(1_000),
-  vmPollIntervalMs: z.coerce.number().int().min(50).default(1_000),
-  permitDurationMs: z.coerce.number().int().min(200).default(1_800),
-  ownershipIntervalMs: z.coerce.number().int().min(20).default(300),
-  defaultDeadlineMs: z.coerce.number().int().min(1).default(10_000),
-  requestTimeoutMs: z.coerce.number().int().min(100).default(10_000),
-  maxBodyBytes: z.coerce.number().int().min(0).default(1_048_576),
-  maxHeaderBytes: z.coerce.number().int().min(1_024).default(16_384),
-  drainNoticeMs: z.coerce.number().int().min(0).default(500),
-});
-
-/** The daemon's settings after the check. */
-export type Settings = z.infer<typeof settingsSchema>;
-/** The name of a setting, as the code uses it. */
-export type SettingName = keyof Settings;
-
-/** Every setting, in the order of the schema. */
-export const settingNames = Object.keys(
-  settingsSchema.shape,
-) as readonly SettingName[];
-
-/** `permitDurationMs` as `--permit-duration-ms`. */
-export function flagName(setting: string): string {
-  return `--${setting.replace(/[A-Z]/g, (c) => `-${c.toLowerCase()}`)}`;
-}
+/** Values by setting, before the check. */
+export type SettingTexts = Readonly<
+  Partial<Record<SettingName, string | undefined>>
+>;
 
 /** `permitDurationMs` as `SKYLARKRIDGE_PERMIT_DURATION_MS`. */
 export function environmentName(setting: string): string {
@@ -75,21 +40,29 @@
   return `${environmentPrefix}${words}`;
 }
 
+/** Declares one text flag for each setting. */
+export function createSettingFlags(): SettingFlags {
+  const entries = settingNames.map((name) => [name, { type: "string" }]);
+  return Object.fromEntries(entries) as SettingFlags;
+}
+
 /** Merges flags over the environment and checks the whole. */
 export function parseSettings(
-  flags: Readonly<Record<string, unknown>>,
+  flags: SettingTexts,
   environment: Readonly<Record<string, string | undefined>>,
 ): Result<Settings, RouterError> {
-  const values: Record<string, unknown> = {};
+  const texts: Partial<Record<SettingName, string>> = {};
   for (const name of settingNames) {
-    const value = flags[name] ?? environment[environmentName(name)];
-    if (value !== undefined) values[name] = value;
+    const text = flags[name] ?? environment[environmentName(name)];
+    if (text !== undefined) texts[name] = text;
   }
-  const parsed = settingsSchema.safeParse(values);
-  if (parsed.success) return ok(parsed.data);
-  const lines = parsed.error.issues.map((issue) =>
-    describeIssue(issue, values)
-  );
+  const parsed = settingsSchema.safeParse(texts);
+  const lines = [
+    ...findUnknownVariables(environment),
+    ...(parsed.error?.issues ?? []).map((issue) => describeIssue(issue, texts)),
+    ...(parsed.success ? findContradictions(parsed.data, texts) : []),
+  ];
+  if (parsed.success && lines.length === 0) return ok(parsed.data);
   return err(
     new RouterError(MessageCode.SettingInvalid, "check settings", {
       detail: lines.join("\n"),
@@ -97,12 +70,81 @@
   );
 }
 
-function describeIssue(
-  issue: z.core.$ZodIssue,
-  values: Readonly<Record<string, unknown>>,
-): string {
-  const name = String(issue.path[0]);
-  const value = values[name] === undefined ? "not set" : `"${values[name]}"`;
-  return `${flagName(name)} (${environmentName(name)}) is ${value}: ` +
-    issue.message;
+function findUnknownVariables(
+  environment: Readonly<Record<string, string | undefined>>,
+): string[] {
+  const known = settingNames.map(environmentName);
+  return Object.keys(environment)
+    .filter((name) => name.startsWith(environmentPrefix))
+    .filter((name) => !known.includes(name))
+    .map((name) => `unknown variable ${name}${formatSuggestion(name, known)}`);
+}
+
+function describeIssue(issue: z.core.$ZodIssue, texts: SettingTexts): string {
+  const name = issue.path[0] as SettingName;
+  const { allowed } = getSettingDescription(name);
+  const reason = name === "services" && texts[name] !== undefined
+    ? ` (${issue.message})`
+    : "";
+  return `${describeValue(name, texts)}; allowed: ${allowed}${reason}`;
+}
+
+/** Names the flag, the variable and the value of a setting. */
+function describeValue(name: SettingName, texts: SettingTexts): string {
+  return `${flagName(name)} (${environmentName(name)}) is ` +
+    showValue(name, texts[name]);
+}
+
+function showValue(name: SettingName, text: string | undefined): string {
+  if (text === undefined) return "not set";
+  if (secretSettingNames.has(name)) return "hidden";
+  const line = text.replace(/\s+/g, " ");
+  const isLong = line.length > maxShownLength;
+  return `"${isLong ? `${line.slice(0, maxShownLength)}...` : line}"`;
+}
+
+/** Checks settings against each other. */
+function findContradictions(
+  settings: Settings,
+  texts: SettingTexts,
+): string[] {
+  const minPermitMs = minSyncsPerPermit * settings.ownershipIntervalMs;
+  const rules: readonly ContradictionRule[] = [
+    {
+      name: "permitDurationMs",
+      isBroken: settings.permitDurationMs < minPermitMs,
+      allowed: `at least ${minPermitMs} ms, ${minSyncsPerPermit} times ` +
+        flagName("ownershipIntervalMs"),
+    },
+    {
+      name: "defaultDeadlineMs",
+      isBroken: settings.defaultDeadlineMs > settings.maxDeadlineMs,
+      allowed: `at most ${settings.maxDeadlineMs} ms, the value of ` +
+        flagName("maxDeadlineMs"),
+    },
+    {
+      name: "peerAddress",
+      isBroken: settings.peerAddress === settings.entryAddress,
+      allowed: `another address than ${flagName("entryAddress")}`,
+    },
+  ];
+  return rules.filter((rule) => rule.isBroken).map((rule) =>
+    `${describeValue(rule.name, withDefaults(settings, texts))}; ` +
+    `allowed: ${rule.allowed}`
+  );
+}
+
+interface ContradictionRule {
+  readonly name: "permitDurationMs" | "defaultDeadlineMs" | "peerAddress";
+  readonly isBroken: boolean;
+  readonly allowed: string;
+}
+
+/** Shows a default where a contradiction involves a setting that is not set. */
+function withDefaults(settings: Settings, texts: SettingTexts): SettingTexts {
+  return {
+    ...texts,
+    permitDurationMs: String(settings.permitDurationMs),
+    defaultDeadlineMs: String(settings.defaultDeadlineMs),
+  };
 }
--- /dev/null
+++ b/src/daemon/settings_text.ts
@@ -0,0 +1,70 @@
+/** Renders the settings for `--help` and for docs/OPERATING.md. */
+import { flagName } from "../command_line/command_line.ts";
+import { environmentName } from "./settings.ts";
+import {
+  getSettingDescription,
+  type SettingDescription,
+  settingNames,
+} from "./settings_schema.ts";
+
+const flagColumnWidth = 26;
+const variableColumnWidth = 38;
+
+/** The text that `skylarkridged --help` prints. */
+export function createSettingsHelp(): string {
+  const lines = settingNames.map(getSettingDescription).map(formatHelpLine);
+  return `skylarkridged: routes requests to servers that own keys exclusively
+
+Usage
+  $ skylarkridged [flags]
+
+Settings (a flag goes before its environment variable)
+${lines.join("\n")}
+
+  --help                    print this text
+  --version                 print the version
+
+Exit codes
+  0  stopped after draining
+  1  failed
+  2  a flag or setting is wrong
+  3  a second signal ended the daemon before it had drained
+`;
+}
+
+function formatHelpLine(setting: SettingDescription): string {
+  const flag = flagName(setting.name).padEnd(flagColumnWidth);
+  const variable = environmentName(setting.name).padEnd(variableColumnWidth);
+  return `  ${flag}${variable}${setting.description}; ${formatRange(setting)}`;
+}
+
+function formatRange(setting: SettingDescription): string {
+  if (setting.isRequired) return `${setting.allowed} (required)`;
+  if (setting.defaultText === undefined) return setting.allowed;
+  return `${setting.allowed} (default ${setting.defaultText})`;
+}
+
+/** The settings table of docs/OPERATING.md. */
+export function createSettingsTable(): string {
+  const header = ["Flag", "Variable", "Meaning", "Allowed", "Default"];
+  const rows = settingNames.map(getSettingDescription).map((setting) => [
+    `\`${flagName(setting.name)}\``,
+    `\`${environmentName(setting.name)}\``,
+    setting.description,
+    setting.allowed,
+    setting.isRequired ? "required" : setting.defaultText ?? "none",
+  ]);
+  return formatMarkdownTable([header, ...rows]);
+}
+
+/** Aligns the columns as the formatter does. */
+function formatMarkdownTable(rows: readonly (readonly string[])[]): string {
+  const widths = rows[0]!.map((_, column) =>
+    Math.max(...rows.map((row) => row[column]!.length))
+  );
+  const lines = rows.map((row) =>
+    `| ${row.map((cell, i) => cell.padEnd(widths[i]!)).join(" | ")} |`
+  );
+  const rule = `| ${widths.map((width) => "-".repeat(width)).join(" | ")} |`;
+  return [lines[0], rule, ...lines.slice(1)].join("\n");
+}
--- a/src/diagnostics/messages.ts
+++ b/src/diagnostics/messages.ts
@@ -9,6 +9,7 @@
   ServiceDuplicate = "SR1002",
   ServiceCycle = "SR1003",
   SettingInvalid = "SR1101",
+  CommandLineInvalid = "SR1102",
   RequestMalformed = "SR2001",
   CustomerUnknown = "SR2002",
   ServiceUnknown = "SR2003",
@@ -18,6 +19,10 @@
   DeadlineExceeded = "SR2007",
   RequestCancelled = "SR2008",
   DaemonDraining = "SR2009",
+  HeadersTooLarge = "SR2010",
+  RequestTimeout = "SR2011",
+  MethodUnsupported = "SR2012",
+  ExpectationUnsupported = "SR2013",
   NoOwner = "SR3001",
   NotHome = "SR3002",
   PermitLapsed = "SR3003",
@@ -45,6 +50,7 @@
   [MessageCode.ServiceDuplicate]: "service {0} is already registered",
   [MessageCode.ServiceCycle]: "service {0} needs itself",
   [MessageCode.SettingInvalid]: "{0}",
+  [MessageCode.CommandLineInvalid]: "{0}",
   [MessageCode.RequestMalformed]: "the request is malformed: {0}",
   [MessageCode.CustomerUnknown]: "customer {0} is not in the list of plans",
   [MessageCode.ServiceUnknown]: "service {0} is not configured",
@@ -54,6 +60,10 @@
   [MessageCode.DeadlineExceeded]: "the deadline passed: {0}",
   [MessageCode.RequestCancelled]: "the caller cancelled the request",
   [MessageCode.DaemonDraining]: "the daemon is draining",
+  [MessageCode.HeadersTooLarge]: "the request head exceeds {0}",
+  [MessageCode.RequestTimeout]: "the request did not arrive in time",
+  [MessageCode.MethodUnsupported]: "the method is not supported: {0}",
+  [MessageCode.ExpectationUnsupported]: "the expectation is not supported",
   [MessageCode.NoOwner]: "no backend server owns the key: {0}",
   [MessageCode.NotHome]: "this daemon is not the home of {0}",
   [MessageCode.PermitLapsed]: "the routing permit has lapsed",
@@ -78,6 +88,31 @@
   [MessageCode.Internal]: "internal error: {0}",
 };
 
+/** Codes whose detail comes from the caller's own request or plan. */
+const codesWithPublicDetail: ReadonlySet<MessageCode> = new Set([
+  MessageCode.RequestMalformed,
+  MessageCode.CustomerUnknown,
+  MessageCode.ServiceUnknown,
+  MessageCode.KeyInvalid,
+  MessageCode.BodyTooLarge,
+  MessageCode.HeadersTooLarge,
+  MessageCode.MethodUnsupported,
+  MessageCode.LimitExceeded,
+]);
+
+/**
+ * Renders a message for callers: no step, no peer, and a detail only where it
+ * cannot name a part of the system.
+ */
+export function formatPublicMessage(
+  code: MessageCode,
+  detail: string | undefined,
+): string {
+  const text = messageTexts[code];
+  if (codesWithPublicDetail.has(code)) return text.replace("{0}", detail ?? "");
+  return text.replace(/:? ?\{0\}/, "");
+}
+
 /** Renders a message with its step and peer. */
 export function formatMessage(
   code: MessageCode,
--- a/src/kernel/service_map.ts
+++ b/src/kernel/service_map.ts
@@ -10,6 +10,7 @@
 import type { Delivery } from "../services/delivery/delivery.ts";
 import type { Entry } from "../services/entry/entry.ts";
 import type { Home } from "../services/home/home.ts";
+import type { Lifecycle } from "../services/lifecycle/lifecycle.ts";
 import type { Lists } from "../services/lists/lists.ts";
 import type { Log } from "../services/log/log.ts";
 import type { Membership } from "../services/membership/membership.ts";
@@ -17,6 +18,7 @@
 import type { Operator } from "../services/operator/operator.ts";
 import type { Ownership } from "../services/ownership/ownership.ts";
 import type { PeerServer } from "../services/peers/peer_server.ts";
+import type { RequestPipeline } from "../services/pipeline/request_pipeline.ts";
 import type { ServiceName } from "./service_name.ts";
 
 /** The type behind each service name. */
@@ -37,6 +39,8 @@
   [ServiceName.Admission]: Admission;
   [ServiceName.Home]: Home;
   [ServiceName.Delivery]: Delivery;
+  [ServiceName.RequestPipeline]: RequestPipeline;
+  [ServiceName.Lifecycle]: Lifecycle;
   [ServiceName.Entry]: Entry;
   [ServiceName.Operator]: Operator;
 }
--- a/src/kernel/service_name.ts
+++ b/src/kernel/service_name.ts
@@ -22,6 +22,8 @@
   Admission = "admission",
   Home = "home",
   Delivery = "delivery",
+  RequestPipeline = "request-pipeline",
+  Lifecycle = "lifecycle",
   Entry = "entry",
   Operator = "operator",
 }
--- /dev/null
+++ b/src/services/entry/caller_connections.ts
@@ -0,0 +1,90 @@
+/**
+ * What is in progress on each caller's connection. Decides whether input that
+ * the HTTP parser rejected can be answered, or whether the answer would be
+ * taken for that of an earlier request.
+ */
+import type { Duplex } from "node:stream";
+import { STATUS_CODES } from "node:http";
+import { MessageCode } from "../../diagnostics/messages.ts";
+import { RouterError } from "../../types/errors.ts";
+import type { HttpExchange } from "../peers/forward_handler.ts";
+import { encodeRefusal } from "./refusal.ts";
+
+const headerOverflowCode = "HPE_HEADER_OVERFLOW";
+const timeoutCode = "ERR_HTTP_REQUEST_TIMEOUT";
+const parserCodePrefix = "HPE_";
+
+/** An error as Node's HTTP server reports it. */
+export interface ParserError extends Error {
+  readonly code?: string;
+  /** The parser's own words; they quote nothing. */
+  readonly reason?: string;
+}
+
+/** The exchanges in progress, by connection. */
+export class CallerConnections {
+  readonly #exchanges = new WeakMap<Duplex, Set<HttpExchange>>();
+  readonly #refused = new WeakSet<Duplex>();
+
+  /** Adds an exchange that has begun. */
+  add(exchange: HttpExchange): void {
+    const { socket } = exchange.request;
+    const known = this.#exchanges.get(socket);
+    if (known !== undefined) known.add(exchange);
+    else this.#exchanges.set(socket, new Set([exchange]));
+  }
+
+  /** Removes an exchange whose answer has been written. */
+  remove(exchange: HttpExchange): void {
+    this.#exchanges.get(exchange.request.socket)?.delete(exchange);
+  }
+
+  /** Whether the connection was refused as a whole and accounted for. */
+  isRefused(exchange: HttpExchange): boolean {
+    return this.#refused.has(exchange.request.socket);
+  }
+
+  /**
+   * Refuses what the parser rejected and closes the connection. An answer that
+   * is owed to an earlier request is broken visibly instead.
+   */
+  refuse(
+    socket: Duplex,
+    failure: RouterError,
+    requestId: string,
+  ): void {
+    this.#refused.add(socket);
+    const exchanges = [...this.#exchanges.get(socket) ?? []];
+    const isAnswerOwed = exchanges.some(({ request }) => request.complete);
+    if (isAnswerOwed || !socket.writable) return void socket.destroy();
+    socket.end(formatRawRefusal(failure, requestId), () => socket.destroy());
+  }
+}
+
+/** Translates a parser error; undefined when the connection merely ended. */
+export function tryTranslateParserError(
+  error: ParserError,
+  maxHeaderBytes: number,
+): RouterError | undefined {
+  const { code = "" } = error;
+  if (code === timeoutCode) {
+    return new RouterError(MessageCode.RequestTimeout, "read request");
+  }
+  if (code === headerOverflowCode) {
+    return new RouterError(MessageCode.HeadersTooLarge, "read head", {
+      detail: `${maxHeaderBytes} bytes`,
+    });
+  }
+  if (!code.startsWith(parserCodePrefix)) return undefined;
+  return new RouterError(MessageCode.RequestMalformed, "parse request", {
+    detail: error.reason ?? "invalid HTTP",
+  });
+}
+
+function formatRawRefusal(failure: RouterError, requestId: string): string {
+  const { status, headers, body } = encodeRefusal(failure, requestId);
+  const lines = Object.entries({ ...headers, connection: "close" })
+    .map(([name, value]) => `${name}: ${value}`);
+  const statusLine = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? "Refused"}`;
+  return [statusLine, ...lines, "", body].join("\r\n");
+}
--- /dev/null
+++ b/src/services/entry/http_caller.ts
@@ -0,0 +1,132 @@
+/**
+ * One caller's request as one task: read the head, read the body, run it
+ * through the pipeline, and write the answer.
+ */
+import type { ServerResponse } from "node:http";
+import { MessageCode } from "../../diagnostics/messages.ts";
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { AttemptOutcome } from "../../types/enums.ts";
+import { RouterError, toRouterError } from "../../types/errors.ts";
+import type { RoutedRequest, RoutedResponse } from "../../types/types.ts";
+import type { HttpExchange } from "../peers/forward_handler.ts";
+import type { CallerConnections } from "./caller_connections.ts";
+import { requestIdHeader, sendRefusal } from "./refusal.ts";
+import { readBody, readHead, type RequestBounds } from "./request_reader.ts";
+import { writeBody } from "./write_body.ts";
+
+const internalHeaderPrefix = "skylark-";
+const serverHeader = "skylark-server";
+
+/** What a request task needs beside the exchange. */
+export interface CallerContext {
+  readonly services: ServiceLookup;
+  readonly bounds: RequestBounds;
+  readonly connections: CallerConnections;
+  /** Whether the caller waits for `100 Continue` before it sends the body. */
+  readonly expectsContinue: boolean;
+  /** Whether answers should end their connection. */
+  readonly isDraining: () => boolean;
+}
+
+/** Serves one request; never rejects. */
+export async function serveCaller(
+  exchange: HttpExchange,
+  context: CallerContext,
+): Promise<void> {
+  const requestId = context.services.get(ServiceName.Random).nextId();
+  const routed = await tryReadRequest(exchange, context, requestId);
+  if (routed === undefined) return;
+  const { response } = exchange;
+  const cancellation = createCancellation(response);
+  const result = await context.services.get(ServiceName.RequestPipeline)
+    .run(routed, cancellation.signal);
+  if (result.isErr()) {
+    const closesConnection = context.isDraining();
+    sendRefusal(response, result.error, { requestId, closesConnection });
+    return;
+  }
+  await writeAnswer(response, result.value, {
+    requestId,
+    context,
+    cancellation,
+  });
+}
+
+/** Reads a request; refuses it and returns undefined when it is malformed. */
+async function tryReadRequest(
+  exchange: HttpExchange,
+  context: CallerContext,
+  requestId: string,
+): Promise<RoutedRequest | undefined> {
+  const { request, response } = exchange;
+  const { services, bounds } = context;
+  try {
+    const head = readHead(request, {
+      requestId,
+      nowMs: services.get(ServiceName.Clock).nowMs(),
+      bounds,
+      tryGetDefinition: (name) =>
+        services.get(ServiceName.Ownership).tryGetDefinition(name),
+    });
+    if (context.expectsContinue) response.writeContinue();
+    return { ...head, body: await readBody(request, bounds.maxBodyBytes) };
+  } catch (error) {
+    const failure = toRouterError(error, MessageCode.Internal, {
+      step: "read request",
+    });
+    if (context.connections.isRefused(exchange)) return undefined;
+    services.get(ServiceName.RequestPipeline).reject({ requestId }, failure);
+    const closesConnection = !request.complete || context.isDraining();
+    sendRefusal(response, failure, { requestId, closesConnection });
+    return undefined;
+  }
+}
+
+async function writeAnswer(
+  response: ServerResponse,
+  answer: RoutedResponse,
+  { requestId, context, cancellation }: {
+    readonly requestId: string;
+    readonly context: CallerContext;
+    readonly cancellation: AbortController;
+  },
+): Promise<void> {
+  try {
+    if (context.isDraining()) response.setHeader("connection", "close");
+    response.writeHead(answer.status, {
+      ...selectAnswerHeaders(answer.headers),
+      [requestIdHeader]: requestId,
+    });
+    await writeBody(response, answer.body);
+  } catch (error) {
+    const failure = new RouterError(MessageCode.AnswerBroken, "write answer", {
+      outcome: AttemptOutcome.Answered,
+      cause: error,
+    });
+    cancellation.abort(failure);
+    sendRefusal(response, failure, { requestId, closesConnection: true });
+  }
+}
+
+/** Drops what only the parts of the system tell each other. */
+function selectAnswerHeaders(
+  headers: Readonly<Record<string, string>>,
+): Record<string, string> {
+  const entries = Object.entries(headers).filter(([name]) =>
+    !name.startsWith(internalHeaderPrefix) || name === serverHeader
+  );
+  return Object.fromEntries(entries);
+}
+
+/** Aborts when the caller goes away before the answer is complete. */
+function createCancellation(response: ServerResponse): AbortController {
+  const controller = new AbortController();
+  response.once("close", () => {
+    if (response.writableFinished) return;
+    controller.abort(
+      new RouterError(MessageCode.RequestCancelled, "await answer"),
+    );
+  });
+  return controller;
+}
--- a/src/services/entry/http_entry.ts
+++ b/src/services/entry/http_entry.ts
@@ -1,7 +1,6 @@
 /**
- * The callers' listener over Node's `http`. Each request is one task: parse,
- * admit, deliver, stream the answer. Decisions live in the admission and
- * delivery services; this file only translates HTTP.
+ * The callers' listener over Node's `http`. It only translates HTTP: requests
+ * go through the request pipeline, one task for each (`http_caller.ts`).
  */
 import {
   createServer,
@@ -14,40 +13,42 @@
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import { DaemonState } from "../../types/enums.ts";
-import { RouterError, toRouterError } from "../../types/errors.ts";
-import { CounterName, TimingName } from "../metrics/metrics.ts";
-import { type HttpExchange } from "../peers/forward_handler.ts";
+import { RouterError } from "../../types/errors.ts";
+import type { HttpExchange } from "../peers/forward_handler.ts";
 import { listen } from "../peers/http_peer_server.ts";
+import { ActiveTasks } from "./active_tasks.ts";
+import {
+  CallerConnections,
+  tryTranslateParserError,
+} from "./caller_connections.ts";
 import { Entry } from "./entry.ts";
+import { serveCaller } from "./http_caller.ts";
 import { sendRefusal } from "./refusal.ts";
-import { readRequest } from "./request_reader.ts";
-import { writeBody } from "./write_body.ts";
-
-const healthPath = "/-/health";
-const readyPath = "/-/ready";
-const statusOk = 200;
-const statusUnavailable = 503;
-const drainCheckIntervalMs = 20;
+import type { RequestBounds } from "./request_reader.ts";
+import { answerStatusPath } from "./status_paths.ts";
 
 /** Settings of the callers' listener. */
-export interface HttpEntryOptions {
+export interface HttpEntryOptions extends RequestBounds {
   readonly host: string;
   readonly port: number;
-  readonly maxBodyBytes: number;
   readonly maxHeaderBytes: number;
+  /** Time in which a request must arrive whole. */
   readonly requestTimeoutMs: number;
-  readonly defaultDeadlineMs: number;
+  /** Connections from callers at one time; more are closed at once. */
+  readonly maxCallerConnections: number;
   /** Time between leaving the balancer and refusing new connections. */
   readonly drainNoticeMs: number;
+  /** Longest wait for requests in progress. */
+  readonly drainTimeoutMs: number;
 }
 
 /** Accepts callers over HTTP. */
 export class HttpEntry extends Entry {
   readonly #options: HttpEntryOptions;
+  readonly #connections = new CallerConnections();
+  readonly #active = new ActiveTasks();
   #server: Server | undefined;
   #services: ServiceLookup | undefined;
-  #state = DaemonState.Starting;
-  #activeCount = 0;
 
   constructor(options: HttpEntryOptions) {
     super();
@@ -58,10 +59,10 @@
     return [
       ServiceName.Clock,
       ServiceName.Random,
-      ServiceName.Metrics,
+      ServiceName.Log,
       ServiceName.Ownership,
-      ServiceName.Admission,
-      ServiceName.Delivery,
+      ServiceName.Lifecycle,
+      ServiceName.RequestPipeline,
     ];
   }
 
@@ -71,93 +72,106 @@
 
   override async start(services: ServiceLookup): Promise<void> {
     this.#services = services;
-    const server = createServer(
-      {
-        maxHeaderSize: this.#options.maxHeaderBytes,
-        requestTimeout: this.#options.requestTimeoutMs,
-        headersTimeout: this.#options.requestTimeoutMs,
-        connectionsCheckingInterval: this.#options.requestTimeoutMs / 2,
-      },
-      (request, response) => this.#handle({ request, response }),
-    );
-    this.#server = server;
-    await listen(server, this.#options);
-    this.#state = DaemonState.Ready;
+    this.#server = this.#createServer();
+    await listen(this.#server, this.#options);
   }
 
+  /** Leaves the balancer, then closes the listener, then waits for callers. */
   override async drain(): Promise<void> {
-    this.#state = DaemonState.Draining;
-    const clock = this.#services!.get(ServiceName.Clock);
+    const services = this.#services!;
+    const clock = services.get(ServiceName.Clock);
+    services.get(ServiceName.Lifecycle).beginDraining();
     await clock.sleep(this.#options.drainNoticeMs);
-    while (this.#activeCount > 0) await clock.sleep(drainCheckIntervalMs);
+    this.#server?.close();
+    this.#server?.closeIdleConnections();
+    const expired = new AbortController();
+    await Promise.race([
+      this.#active.waitUntilIdle(),
+      clock.sleep(this.#options.drainTimeoutMs, expired.signal),
+    ]);
+    expired.abort();
+    if (this.#active.count === 0) return;
+    services.get(ServiceName.Log).warn("drain timeout passed", {
+      cutOffCount: this.#active.count,
+    });
   }
 
-  override async stop(): Promise<void> {
+  override stop(): Promise<void> {
     const server = this.#server;
-    if (server === undefined) return;
-    const closed = new Promise<void>((resolve) =>
-      server.close(() => resolve())
-    );
-    server.closeAllConnections();
-    await closed;
+    if (server === undefined) return Promise.resolve();
+    return new Promise((resolve) => {
+      server.close(() => resolve());
+      server.closeAllConnections();
+    });
+  }
+
+  #createServer(): Server {
+    const { requestTimeoutMs, maxHeaderBytes } = this.#options;
+    const server = createServer({
+      maxHeaderSize: maxHeaderBytes,
+      requestTimeout: requestTimeoutMs,
+      headersTimeout: requestTimeoutMs,
+      connectionsCheckingInterval: Math.ceil(requestTimeoutMs / 2),
+      requireHostHeader: false,
+      insecureHTTPParser: false,
+    });
+    server.maxConnections = this.#options.maxCallerConnections;
+    server.on("request", (request, response) => {
+      void this.#serve({ request, response }, false);
+    });
+    server.on("checkContinue", (request, response) => {
+      void this.#serve({ request, response }, true);
+    });
+    server.on("checkExpectation", (request, response) => {
+      this.#refuseExpectation(request, response);
+    });
+    server.on("clientError", (error, socket) => {
+      const failure = tryTranslateParserError(error, maxHeaderBytes);
+      if (failure === undefined) return void socket.destroy();
+      const requestId = this.#reject(failure);
+      this.#connections.refuse(socket, failure, requestId);
+    });
+    return server;
   }
 
-  async #handle(exchange: HttpExchange): Promise<void> {
-    const { request, response } = exchange;
-    if (request.url === healthPath) return void response.end("ok\n");
-    if (request.url === readyPath) return this.#sendReadiness(response);
-    this.#activeCount += 1;
+  async #serve(
+    exchange: HttpExchange,
+    expectsContinue: boolean,
+  ): Promise<void> {
+    const services = this.#services!;
+    const lifecycle = services.get(ServiceName.Lifecycle);
+    if (answerStatusPath(exchange, lifecycle)) return;
+    this.#connections.add(exchange);
+    this.#active.begin();
     try {
-      await this.#route(exchange);
-    } catch (error) {
-      const failure = toRouterError(error, MessageCode.Internal, {
-        step: "route request",
+      await serveCaller(exchange, {
+        services,
+        bounds: this.#options,
+        connections: this.#connections,
+        expectsContinue,
+        isDraining: () => lifecycle.state() === DaemonState.Draining,
       });
-      this.#services!.get(ServiceName.Metrics)
-        .count(CounterName.RequestsRefused, failure.code);
-      sendRefusal(response, failure);
     } finally {
-      this.#activeCount -= 1;
+      this.#active.end();
+      this.#connections.remove(exchange);
     }
   }
 
-  async #route({ request, response }: HttpExchange): Promise<void> {
-    const services = this.#services!;
-    const clock = services.get(ServiceName.Clock);
-    const metrics = services.get(ServiceName.Metrics);
-    const startedAtMs = clock.nowMs();
-    metrics.count(CounterName.RequestsReceived);
-    const routed = await readRequest(services, request, this.#options);
-    const cancelled = createCancellation({ request, response });
-    const ticket = await services.get(ServiceName.Admission)
-      .admit(routed, cancelled);
-    if (ticket.isErr()) throw ticket.error;
-    const result = await services.get(ServiceName.Delivery)
-      .deliver(routed, cancelled);
-    if (result.isErr()) throw result.error;
-    response.writeHead(result.value.status, { ...result.value.headers });
-    await writeBody(response, result.value.body);
-    metrics.count(CounterName.RequestsAnswered);
-    metrics.record(TimingName.Total, clock.nowMs() - startedAtMs, routed);
+  #refuseExpectation(request: IncomingMessage, response: ServerResponse): void {
+    const failure = new RouterError(
+      MessageCode.ExpectationUnsupported,
+      "check head",
+    );
+    const requestId = this.#reject(failure);
+    sendRefusal(response, failure, { requestId, closesConnection: true });
+    request.resume();
   }
 
-  #sendReadiness(response: ServerResponse): void {
-    const isReady = this.#state === DaemonState.Ready;
-    response.writeHead(isReady ? statusOk : statusUnavailable);
-    response.end(`${this.#state}\n`);
+  /** Accounts for input that never became a request; returns its identifier. */
+  #reject(failure: RouterError): string {
+    const services = this.#services!;
+    const requestId = services.get(ServiceName.Random).nextId();
+    services.get(ServiceName.RequestPipeline).reject({ requestId }, failure);
+    return requestId;
   }
 }
-
-/** Aborts when the caller goes away before the answer is complete. */
-function createCancellation(
-  { response }: { request: IncomingMessage; response: ServerResponse },
-): AbortSignal {
-  const controller = new AbortController();
-  response.once("close", () => {
-    if (response.writableFinished) return;
-    controller.abort(
-      new RouterError(MessageCode.RequestCancelled, "await answer"),
-    );
-  });
-  return controller.signal;
-}
--- /dev/null
+++ b/src/services/entry/http_entry_test.ts
@@ -0,0 +1,468 @@
+import { once } from "node:events";
+import { connect } from "node:net";
+import { err, ok } from "neverthrow";
+import * as assert from "uvu/assert";
+import { MessageCode } from "../../diagnostics/messages.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { describe, it } from "../../testing/describe.ts";
+import {
+  createTextResponse,
+  LoopbackEntry,
+  readUntil,
+  readUntilClosed,
+} from "../../testing/loopback_entry.ts";
+import { AttemptOutcome, DaemonState } from "../../types/enums.ts";
+import { RouterError } from "../../types/errors.ts";
+import { refusalSchema } from "./refusal_schema.ts";
+
+const customer = "skylark-customer: cuadrillas";
+
+function head(
+  target: string,
+  lines: readonly string[] = [],
+  method = "GET",
+): string {
+  return [
+    `${method} ${target} HTTP/1.1`,
+    "host: entry",
+    customer,
+    ...lines,
+    "",
+    "",
+  ].join("\r\n");
+}
+
+function closing(target: string, lines: readonly string[] = []): string {
+  return head(target, [...lines, "connection: close"]);
+}
+
+async function withEntry(
+  body: (entry: LoopbackEntry) => Promise<void>,
+  options: ConstructorParameters<typeof LoopbackEntry>[0] = {},
+): Promise<void> {
+  const entry = new LoopbackEntry(options);
+  await entry.start();
+  try {
+    await body(entry);
+  } finally {
+    await entry.stop();
+  }
+}
+
+function readRefusal(answer: string) {
+  const body = answer.slice(answer.indexOf("\r\n\r\n"));
+  return refusalSchema.parse(JSON.parse(body));
+}
+
+/** Connects until that is refused, then lets tasks run that do not wait. */
+async function waitUntilListenerClosed(entry: LoopbackEntry): Promise<void> {
+  const port = entry.kernel.get(ServiceName.Entry).port();
+  for (;;) {
+    const socket = connect(port, "127.0.0.1");
+    const isOpen = await once(socket, "connect").then(() => true, () => false);
+    socket.destroy();
+    if (!isOpen) break;
+  }
+  for (let turn = 0; turn < 10; turn++) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+interface BadInput {
+  readonly title: string;
+  readonly text: string;
+  readonly status: number;
+  readonly code: MessageCode;
+}
+
+const post = (lines: readonly string[]) =>
+  head("/roster/k", [...lines, "connection: close"], "POST");
+
+const badInputs: readonly BadInput[] = [
+  {
+    title: "a malformed request line",
+    text: "GARBAGE\r\n\r\n",
+    status: 400,
+    code: MessageCode.RequestMalformed,
+  },
+  {
+    title: "a malformed header",
+    text: "GET /roster/k HTTP/1.1\r\nno colon here\r\n\r\n",
+    status: 400,
+    code: MessageCode.RequestMalformed,
+  },
+  {
+    title: "a missing host",
+    text: `GET /roster/k HTTP/1.1\r\n${customer}\r\nconnection: close\r\n\r\n`,
+    status: 400,
+    code: MessageCode.RequestMalformed,
+  },
+  {
+    title: "a missing customer",
+    text: "GET /roster/k HTTP/1.0\r\n\r\n",
+    status: 400,
+    code: MessageCode.RequestMalformed,
+  },
+  {
+    title: "a repeated customer",
+    text: closing("/roster/k", ["skylark-customer: puddlewatch"]),
+    status: 400,
+    code: MessageCode.RequestMalformed,
+  },
+  {
+    title: "an unknown service",
+    text: closing("/nothing/k"),
+    status: 404,
+    code: MessageCode.ServiceUnknown,
+  },
+  {
+    title: "a target without a key",
+    text: closing("/roster"),
+    status: 400,
+    code: MessageCode.RequestMalformed,
+  },
+  {
+    title: "an absolute target",
+    text: closing("http://other/roster/k"),
+    status: 400,
+    code: MessageCode.RequestMalformed,
+  },
+  {
+    title: "a key with broken percent-encoding",
+    text: closing("/roster/%zz"),
+    status: 400,
+    code: MessageCode.KeyInvalid,
+  },
+  {
+    title: "a key with a control character",
+    text: closing("/roster/a%0d%0ab"),
+    status: 400,
+    code: MessageCode.KeyInvalid,
+  },
+  {
+    title: "a key that is too long",
+    text: closing(`/roster/${"k".repeat(257)}`),
+    status: 400,
+    code: MessageCode.KeyInvalid,
+  },
+  {
+    title: "an unsupported method",
+    text: head("/roster/k", ["connection: close"], "TRACE"),
+    status: 405,
+    code: MessageCode.MethodUnsupported,
+  },
+  {
+    title: "an unsupported expectation",
+    text: closing("/roster/k", ["expect: tea"]),
+    status: 417,
+    code: MessageCode.ExpectationUnsupported,
+  },
+  {
+    title: "oversized headers",
+    text: closing("/roster/k", [`x-large: ${"x".repeat(5_000)}`]),
+    status: 431,
+    code: MessageCode.HeadersTooLarge,
+  },
+  {
+    title: "an announced body that is too large",
+    text: post(["content-length: 1001"]),
+    status: 413,
+    code: MessageCode.BodyTooLarge,
+  },
+  {
+    title: "a chunked body that grows too large",
+    text: post(["transfer-encoding: chunked"]) +
+      `3e9\r\n${"x".repeat(1_001)}\r\n0\r\n\r\n`,
+    status: 413,
+    code: MessageCode.BodyTooLarge,
+  },
+  {
+    title: "a deadline of zero",
+    text: closing("/roster/k", ["skylark-deadline-ms: 0"]),
+    status: 400,
+    code: MessageCode.RequestMalformed,
+  },
+  {
+    title: "a deadline beyond the maximum",
+    text: closing("/roster/k", ["skylark-deadline-ms: 20001"]),
+    status: 400,
+    code: MessageCode.RequestMalformed,
+  },
+  {
+    title: "a deadline that is not an integer",
+    text: closing("/roster/k", ["skylark-deadline-ms: 1e3"]),
+    status: 400,
+    code: MessageCode.RequestMalformed,
+  },
+  {
+    title: "a repeated idempotency key",
+    text: closing("/roster/k", ["idempotency-key: a", "idempotency-key: b"]),
+    status: 400,
+    code: MessageCode.RequestMalformed,
+  },
+  {
+    title: "an empty idempotency key",
+    text: closing("/roster/k", ["idempotency-key:"]),
+    status: 400,
+    code: MessageCode.RequestMalformed,
+  },
+  {
+    title: "content-length beside transfer-encoding",
+    text: post(["content-length: 4", "transfer-encoding: chunked"]) +
+      "0\r\n\r\n",
+    status: 400,
+    code: MessageCode.RequestMalformed,
+  },
+  {
+    title: "two content-lengths",
+    text: post(["content-length: 4", "content-length: 5"]) + "abcd",
+    status: 400,
+    code: MessageCode.RequestMalformed,
+  },
+  {
+    title: "a broken chunk",
+    text: post(["transfer-encoding: chunked"]) + "zz\r\n",
+    status: 400,
+    code: MessageCode.RequestMalformed,
+  },
+];
+
+describe("HttpEntry", () => {
+  describe("bad input", () => {
+    for (const { title, text, status, code } of badInputs) {
+      it(`refuses ${title} with ${status} and ${code}`, () =>
+        withEntry(async (entry) => {
+          const answer = await entry.exchange(text);
+          assert.match(answer, new RegExp(`^HTTP/1.1 ${status} `));
+          const refusal = readRefusal(answer);
+          assert.is(refusal.code, code);
+          assert.is(refusal.outcome, AttemptOutcome.NotSent);
+          assert.is(refusal.mayHaveRun, false);
+          assert.is(entry.counter(`requests.malformed{${code}}`), 1);
+          assert.is(entry.delivery.delivered.length, 0);
+          assert.not.match(answer, /127\.0\.0\.1/);
+        }));
+    }
+
+    it("counts a body that ends early and delivers nothing", () =>
+      withEntry(async (entry) => {
+        const socket = await entry.connect();
+        socket.end(post(["content-length: 9"]) + "abcd");
+        await readUntilClosed(socket);
+        assert.is(entry.delivery.delivered.length, 0);
+        const truncated = `requests.malformed{${MessageCode.BodyTruncated}}`;
+        const malformed = `requests.malformed{${MessageCode.RequestMalformed}}`;
+        assert.is(entry.counter(truncated) + entry.counter(malformed), 1);
+      }));
+
+    it("refuses a head that does not arrive in time", () =>
+      withEntry(async (entry) => {
+        const answer = await entry.exchange("GET /roster/k HTTP/1.1\r\nx: ");
+        assert.match(answer, /^HTTP\/1.1 408 /);
+        const name = `requests.malformed{${MessageCode.RequestTimeout}}`;
+        assert.is(entry.counter(name), 1);
+      }, { requestTimeoutMs: 100 }));
+
+    it("refuses a body that does not arrive in time, counted once", () =>
+      withEntry(async (entry) => {
+        const answer = await entry.exchange(
+          post(["content-length: 9"]) + "abc",
+        );
+        assert.match(answer, /^HTTP\/1.1 408 /);
+        assert.is(readRefusal(answer).code, MessageCode.RequestTimeout);
+        const counted = [...entry.metrics.counters()]
+          .filter(([name]) => name.startsWith("requests.malformed"));
+        assert.equal(counted, [[
+          `requests.malformed{${MessageCode.RequestTimeout}}`,
+          1,
+        ]]);
+        assert.is(entry.delivery.delivered.length, 0);
+      }, { requestTimeoutMs: 100 }));
+
+    it("never answers an earlier request with a later one's refusal", () =>
+      withEntry(async (entry) => {
+        entry.delivery.script = () => new Promise(() => {});
+        const answer = await entry.exchange(
+          head("/roster/first") + "GARBAGE\r\n\r\n",
+        );
+        assert.is(entry.delivery.delivered.length, 1);
+        assert.is(answer, "");
+      }, { drainTimeoutMs: 50 }));
+  });
+
+  describe("what reaches the pipeline", () => {
+    it("drops forged headers and those of the connection", () =>
+      withEntry(async (entry) => {
+        await entry.exchange(head("/roster/farm%2F7/list?day=1", [
+          "skylark-fence: 99",
+          "skylark-request-id: forged",
+          "x-private: 1",
+          "x-kept: 2",
+          "idempotency-key: abc",
+          "connection: close, x-private",
+        ]));
+        const [request] = entry.delivery.delivered;
+        assert.is(request?.key, "farm/7");
+        assert.is(request?.path, "/list?day=1");
+        assert.is(request?.planRank, 7);
+        assert.equal(request?.headers, {
+          "x-kept": "2",
+          "idempotency-key": "abc",
+        });
+        assert.is.not(request?.requestId, "forged");
+      }));
+
+    it("keeps pipelined requests apart and in order", () =>
+      withEntry(async (entry) => {
+        entry.delivery.script = async (request) => {
+          const turns = request.key === "slow" ? 20 : 1;
+          for (let turn = 0; turn < turns; turn++) {
+            await new Promise((resolve) => setImmediate(resolve));
+          }
+          return ok(createTextResponse(`<${request.key}>`));
+        };
+        const answer = await entry.exchange(
+          head("/roster/slow") + head("/roster/quick") +
+            closing("/roster/last"),
+        );
+        const bodies = [...answer.matchAll(/<(\w+)>/g)].map((m) => m[1]);
+        assert.equal(bodies, ["slow", "quick", "last"]);
+      }));
+
+    it("asks for the body only when the head is good", () =>
+      withEntry(async (entry) => {
+        const lines = ["content-length: 2", "expect: 100-continue"];
+        const good = await entry.connect();
+        good.write(post(lines));
+        await readUntil(good, "100 Continue");
+        good.write("ok");
+        assert.match(await readUntilClosed(good), /^HTTP\/1.1 200 /);
+        const bad = await entry.exchange(
+          head("/nothing/k", lines, "POST"),
+        );
+        assert.match(bad, /^HTTP\/1.1 404 /);
+        assert.not.match(bad, /100 Continue/);
+      }));
+
+    it("answers HEAD without a body", () =>
+      withEntry(async (entry) => {
+        const answer = await entry.exchange(
+          head("/roster/k", ["connection: close"], "HEAD"),
+        );
+        assert.match(answer, /^HTTP\/1.1 200 /);
+        assert.ok(answer.endsWith("\r\n\r\n"));
+      }));
+  });
+
+  describe("answers", () => {
+    it("tells a caller what ran, and nothing of the inside", () =>
+      withEntry(async (entry) => {
+        entry.delivery.script = () =>
+          Promise.resolve(err(
+            new RouterError(MessageCode.OutcomeUnknown, "send", {
+              peer: "10.0.0.7:9000",
+              detail: "read ECONNRESET 10.0.0.7:9000",
+              outcome: AttemptOutcome.Unknown,
+              retryAfterMs: 1_500,
+            }),
+          ));
+        const answer = await entry.exchange(closing("/roster/k"));
+        const refusal = readRefusal(answer);
+        assert.is(refusal.mayHaveRun, true);
+        assert.is(refusal.retryAfterMs, 1_500);
+        assert.match(answer, /retry-after: 2\r\n/);
+        assert.not.match(answer, /10\.0\.0\.7/);
+        const record = entry.kernel.get(ServiceName.RequestPipeline)
+          .tryFindRefusal(refusal.requestId);
+        assert.is(record?.failure.peer, "10.0.0.7:9000");
+      }));
+
+    it("breaks an answer whose body fails", () =>
+      withEntry(async (entry) => {
+        async function* brokenBody(): AsyncIterable<Uint8Array> {
+          yield Buffer.from("half");
+          throw new Error("reset");
+        }
+        entry.delivery.script = () =>
+          Promise.resolve(ok({
+            status: 200,
+            headers: { "content-length": "8" },
+            body: brokenBody(),
+          }));
+        const answer = await entry.exchange(head("/roster/k"));
+        assert.ok(!answer.includes("halfhalf"));
+        assert.is(entry.counter("answers.broken"), 1);
+        assert.is(entry.counter("requests.answered"), 0);
+      }));
+
+    it("cancels the request when its caller goes away", () =>
+      withEntry(async (entry) => {
+        const cancelled = new Promise<void>((resolve) => {
+          entry.delivery.script = (_request, signal) =>
+            new Promise((settle) =>
+              signal.addEventListener("abort", () => {
+                resolve();
+                settle(err(
+                  new RouterError(MessageCode.RequestCancelled, "deliver"),
+                ));
+              })
+            );
+        });
+        const socket = await entry.connect();
+        socket.write(head("/roster/k"));
+        while (entry.delivery.delivered.length === 0) {
+          await new Promise((resolve) => setImmediate(resolve));
+        }
+        socket.destroy();
+        await cancelled;
+      }));
+  });
+
+  describe("readiness and drain", () => {
+    it("says why it is not ready", () =>
+      withEntry(async (entry) => {
+        entry.lifecycle.current = DaemonState.Starting;
+        entry.lifecycle.reasons = ["no assignment"];
+        const answer = await entry.exchange(closing("/-/ready"));
+        assert.match(answer, /^HTTP\/1.1 503 /);
+        assert.match(answer, /blocked: no assignment/);
+      }));
+
+    it("finishes requests in progress and closes their connections", async () => {
+      const entry = new LoopbackEntry();
+      await entry.start();
+      let release = () => {};
+      const held = new Promise<void>((resolve) => release = resolve);
+      entry.delivery.script = async () => {
+        await held;
+        return ok(createTextResponse("whole"));
+      };
+      const socket = await entry.connect();
+      socket.write(head("/roster/k"));
+      while (entry.delivery.delivered.length === 0) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+      const answer = readUntilClosed(socket);
+      const stopped = entry.stop();
+      await waitUntilListenerClosed(entry);
+      release();
+      await stopped;
+      assert.match(await answer, /connection: close\r\n[^]*whole/);
+    });
+
+    it("gives up after the drain timeout", async () => {
+      const entry = new LoopbackEntry({ drainTimeoutMs: 20 });
+      await entry.start();
+      entry.delivery.script = () => new Promise(() => {});
+      const socket = await entry.connect();
+      socket.write(head("/roster/k"));
+      while (entry.delivery.delivered.length === 0) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+      const closed = once(socket, "close");
+      await entry.stop();
+      await closed;
+      assert.equal(entry.log.lines, ["drain timeout passed"]);
+    });
+  });
+});
--- a/src/services/entry/refusal.ts
+++ b/src/services/entry/refusal.ts
@@ -1,39 +1,82 @@
-/** The form of a refusal towards callers: a stable code and what ran. */
+/**
+ * The form of a refusal towards callers: a stable code, what ran, and nothing
+ * about the inside of the system.
+ */
 import type { ServerResponse } from "node:http";
-import { MessageCode } from "../../diagnostics/messages.ts";
+import {
+  formatPublicMessage,
+  MessageCode,
+} from "../../diagnostics/messages.ts";
 import { AttemptOutcome } from "../../types/enums.ts";
 import type { RouterError } from "../../types/errors.ts";
+import type { Refusal } from "./refusal_schema.ts";
 
+/** Header that names a request towards callers. */
+export const requestIdHeader = "skylark-request-id";
+const outcomeHeader = "skylark-outcome";
 const millisecondsPerSecond = 1_000;
+const statusBadGateway = 502;
 
-/** Answers with the failure, or breaks an answer that has begun. */
-export function sendRefusal(
-  response: ServerResponse,
+/** A refusal, ready to be written. */
+export interface EncodedRefusal {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string;
+}
+
+/** Encodes a failure for the caller who received `requestId`. */
+export function encodeRefusal(
   failure: RouterError,
-): void {
-  if (response.headersSent) return void response.destroy();
+  requestId: string,
+): EncodedRefusal {
+  const body = `${JSON.stringify(createRefusal(failure, requestId))}\n`;
   const headers: Record<string, string> = {
     "content-type": "application/json",
-    "skylark-outcome": failure.outcome,
+    "content-length": String(Buffer.byteLength(body)),
+    "cache-control": "no-store",
+    [requestIdHeader]: requestId,
+    [outcomeHeader]: failure.outcome,
   };
   if (failure.retryAfterMs !== undefined) {
     const seconds = Math.ceil(failure.retryAfterMs / millisecondsPerSecond);
     headers["retry-after"] = String(seconds);
   }
-  response.writeHead(statusOf(failure), headers);
-  response.end(JSON.stringify({
+  return { status: statusOf(failure), headers, body };
+}
+
+function createRefusal(failure: RouterError, requestId: string): Refusal {
+  return {
     code: failure.code,
-    message: failure.message,
+    message: formatPublicMessage(failure.code, failure.detail),
+    requestId,
     outcome: failure.outcome,
-    mayHaveRun: failure.outcome === AttemptOutcome.Unknown,
+    mayHaveRun: mayHaveRun(failure.outcome),
     limitName: failure.limitName,
     retryAfterMs: failure.retryAfterMs,
-  }));
+  };
+}
+
+function mayHaveRun(outcome: AttemptOutcome): boolean {
+  return outcome === AttemptOutcome.Unknown ||
+    outcome === AttemptOutcome.Answered;
+}
+
+/** Answers with the failure, or breaks an answer that has begun. */
+export function sendRefusal(
+  response: ServerResponse,
+  failure: RouterError,
+  options: { readonly requestId: string; readonly closesConnection: boolean },
+): void {
+  if (response.headersSent) return void response.destroy();
+  const refusal = encodeRefusal(failure, options.requestId);
+  if (options.closesConnection) response.setHeader("connection", "close");
+  response.writeHead(refusal.status, { ...refusal.headers });
+  response.end(refusal.body);
 }
 
 /** The HTTP status of a failure; codes not listed are a bad gateway. */
 function statusOf(failure: RouterError): number {
-  return statusByCode[failure.code] ?? 502;
+  return statusByCode[failure.code] ?? statusBadGateway;
 }
 
 const statusByCode: Partial<Record<MessageCode, number>> = {
@@ -46,6 +89,10 @@
   [MessageCode.DeadlineExceeded]: 504,
   [MessageCode.RequestCancelled]: 499,
   [MessageCode.DaemonDraining]: 503,
+  [MessageCode.HeadersTooLarge]: 431,
+  [MessageCode.RequestTimeout]: 408,
+  [MessageCode.MethodUnsupported]: 405,
+  [MessageCode.ExpectationUnsupported]: 417,
   [MessageCode.NoOwner]: 503,
   [MessageCode.NotHome]: 503,
   [MessageCode.PermitLapsed]: 503,
--- a/src/services/entry/request_reader.ts
+++ b/src/services/entry/request_reader.ts
@@ -1,150 +1,204 @@
 /**
- * Parses a caller's HTTP request: `/{service}/{key}/{rest}` with the customer
+ * Reads a caller's HTTP request: `/{service}/{key}/{rest}` with the customer
  * in a header. Rejects what is malformed before anything is charged or sent.
+ * The head is checked before the body is read.
  */
 import type { IncomingMessage } from "node:http";
 import { MessageCode } from "../../diagnostics/messages.ts";
-import type { ServiceLookup } from "../../kernel/kernel.ts";
-import { ServiceName } from "../../kernel/service_name.ts";
+import type { ServiceDefinition } from "../../types/types.ts";
 import { RouterError } from "../../types/errors.ts";
 import type { RoutedRequest } from "../../types/types.ts";
 import { flattenHeaders } from "../backend/http_headers.ts";
+import { parseTarget } from "./request_target.ts";
 
 const customerHeader = "skylark-customer";
 const deadlineHeader = "skylark-deadline-ms";
 const idempotencyHeader = "idempotency-key";
 const reservedHeaderPrefix = "skylark-";
-const maxKeyLength = 256;
-const idempotentMethods: ReadonlySet<string> = new Set([
-  "GET",
-  "HEAD",
-  "OPTIONS",
-  "PUT",
-  "DELETE",
-]);
+const customerPattern = /^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/;
+const idempotencyPattern = /^[\x21-\x7e]{1,128}$/;
+const integerPattern = /^\d{1,12}$/;
+
+/** Headers that must not be repeated, since the copies could disagree. */
+const singleHeaders = [
+  "host",
+  "content-length",
+  "transfer-encoding",
+  customerHeader,
+  deadlineHeader,
+  idempotencyHeader,
+];
+
+/** Whether a repetition of each supported method is harmless. */
+const isIdempotentByMethod: Readonly<Record<string, boolean>> = {
+  GET: true,
+  HEAD: true,
+  OPTIONS: true,
+  PUT: true,
+  DELETE: true,
+  POST: false,
+  PATCH: false,
+};
 
 /** Bounds on what a caller may send. */
 export interface RequestBounds {
   readonly maxBodyBytes: number;
   readonly defaultDeadlineMs: number;
+  readonly maxDeadlineMs: number;
+}
+
+/** What the reader needs to know to understand a request. */
+export interface ReaderContext {
+  readonly requestId: string;
+  readonly nowMs: number;
+  readonly bounds: RequestBounds;
+  readonly tryGetDefinition: (name: string) => ServiceDefinition | undefined;
 }
 
-/** Reads one request to its last byte; throws `RouterError` when malformed. */
-export async function readRequest(
-  services: ServiceLookup,
+/** A request whose body has not been read. */
+export type RequestHead = Omit<RoutedRequest, "body">;
+
+/** Checks and reads the head; throws `RouterError` when it is malformed. */
+export function readHead(
   message: IncomingMessage,
-  bounds: RequestBounds,
-): Promise<RoutedRequest> {
-  const nowMs = services.get(ServiceName.Clock).nowMs();
-  const { service, key, rest } = parseTarget(message.url ?? "");
-  const definition = services.get(ServiceName.Ownership)
-    .tryGetDefinition(service);
+  context: ReaderContext,
+): RequestHead {
+  checkFraming(message, context.bounds);
+  const { service, key, path } = parseTarget(message.url ?? "");
+  const definition = context.tryGetDefinition(service);
   if (definition === undefined) {
     throw new RouterError(MessageCode.ServiceUnknown, "parse target", {
       detail: service,
     });
   }
-  const method = message.method ?? "GET";
-  const deadlineMs = parseDeadline(message) ?? bounds.defaultDeadlineMs;
+  const method = message.method ?? "";
+  const deadlineMs = readDeadline(message, context.bounds);
   return {
-    requestId: services.get(ServiceName.Random).nextId(),
-    customer: parseCustomer(message),
+    requestId: context.requestId,
+    customer: readCustomer(message),
     service,
     key,
     requestClass: definition.requestClass,
-    isIdempotent: idempotentMethods.has(method),
-    idempotencyKey: singleHeader(message, idempotencyHeader),
+    isIdempotent: readIsIdempotent(method),
+    idempotencyKey: readIdempotencyKey(message),
     method,
-    path: rest,
-    headers: removeReserved(flattenHeaders(message.headers)),
-    body: await readBody(message, bounds.maxBodyBytes),
-    deadlineAtMs: nowMs + deadlineMs,
+    path,
+    headers: selectHeaders(message),
+    deadlineAtMs: context.nowMs + deadlineMs,
   };
 }
 
-/** Splits `/{service}/{key}/{rest}`; the key may be percent-encoded. */
-function parseTarget(
-  url: string,
-): { readonly service: string; readonly key: string; readonly rest: string } {
-  const match = /^\/([^/?]+)\/([^/?]+)(\/[^?]*)?(\?.*)?$/.exec(url);
-  if (match === null) {
-    throw new RouterError(MessageCode.RequestMalformed, "parse target", {
-      detail: "the path must be /{service}/{key}/...",
+/** Reads the body to its last byte; throws `RouterError` when it is not whole. */
+export async function readBody(
+  message: IncomingMessage,
+  maxBytes: number,
+): Promise<Uint8Array> {
+  const chunks: Uint8Array[] = [];
+  let totalBytes = 0;
+  try {
+    // The connection must outlive a body that is not read to its end.
+    for await (const chunk of message.iterator({ destroyOnReturn: false })) {
+      totalBytes += chunk.length;
+      if (totalBytes > maxBytes) throw createTooLarge(maxBytes);
+      chunks.push(chunk);
+    }
+  } catch (error) {
+    if (error instanceof RouterError) throw error;
+    throw new RouterError(MessageCode.BodyTruncated, "read body", {
+      cause: error,
     });
   }
-  const [, service = "", encodedKey = "", path = "/", query = ""] = match;
-  return { service, key: decodeKey(encodedKey), rest: path + query };
+  return Buffer.concat(chunks);
 }
 
-function decodeKey(encodedKey: string): string {
-  try {
-    const key = decodeURIComponent(encodedKey);
-    if (key.length <= maxKeyLength) return key;
-  } catch {
-    throw new RouterError(MessageCode.KeyInvalid, "parse key", {
-      detail: "bad percent-encoding",
-    });
+/** Rejects heads that two parsers could understand differently. */
+function checkFraming(message: IncomingMessage, bounds: RequestBounds): void {
+  for (const name of singleHeaders) {
+    if ((message.headersDistinct[name]?.length ?? 0) <= 1) continue;
+    throw createMalformed("check head", `header ${name} is repeated`);
+  }
+  const { host } = message.headers;
+  if (host === undefined && message.httpVersion !== "1.0") {
+    throw createMalformed("check head", "header host is missing");
+  }
+  const length = message.headers["content-length"];
+  if (length === undefined) return;
+  if (message.headers["transfer-encoding"] !== undefined) {
+    throw createMalformed(
+      "check head",
+      "content-length and transfer-encoding exclude each other",
+    );
+  }
+  if (Number(length) > bounds.maxBodyBytes) {
+    throw createTooLarge(bounds.maxBodyBytes);
   }
-  throw new RouterError(MessageCode.KeyInvalid, "parse key", {
-    detail: `longer than ${maxKeyLength} characters`,
-  });
 }
 
-function parseCustomer(message: IncomingMessage): string {
-  const customer = singleHeader(message, customerHeader);
-  if (customer !== undefined && customer !== "") return customer;
-  throw new RouterError(MessageCode.RequestMalformed, "parse customer", {
-    detail: `header ${customerHeader} is missing`,
-  });
+function readCustomer(message: IncomingMessage): string {
+  const customer = readSingle(message, customerHeader);
+  if (customer !== undefined && customerPattern.test(customer)) return customer;
+  const detail = customer === undefined
+    ? `header ${customerHeader} is missing`
+    : `header ${customerHeader} must be 1 to 64 letters, digits, . _ or -`;
+  throw createMalformed("read customer", detail);
 }
 
-function parseDeadline(message: IncomingMessage): number | undefined {
-  const text = singleHeader(message, deadlineHeader);
-  if (text === undefined) return undefined;
-  const deadlineMs = Number(text);
-  if (Number.isFinite(deadlineMs) && deadlineMs > 0) return deadlineMs;
-  throw new RouterError(MessageCode.RequestMalformed, "parse deadline", {
-    detail: `header ${deadlineHeader} must be a positive number of ms`,
+function readDeadline(
+  message: IncomingMessage,
+  bounds: RequestBounds,
+): number {
+  const text = readSingle(message, deadlineHeader);
+  if (text === undefined) return bounds.defaultDeadlineMs;
+  const deadlineMs = integerPattern.test(text) ? Number(text) : 0;
+  if (deadlineMs >= 1 && deadlineMs <= bounds.maxDeadlineMs) return deadlineMs;
+  throw createMalformed(
+    "read deadline",
+    `header ${deadlineHeader} must be an integer from 1 to ` +
+      `${bounds.maxDeadlineMs} ms`,
+  );
+}
+
+function readIsIdempotent(method: string): boolean {
+  const isIdempotent = isIdempotentByMethod[method];
+  if (isIdempotent !== undefined) return isIdempotent;
+  throw new RouterError(MessageCode.MethodUnsupported, "read method", {
+    detail: method,
   });
 }
 
-function singleHeader(
+function readIdempotencyKey(message: IncomingMessage): string | undefined {
+  const key = readSingle(message, idempotencyHeader);
+  if (key === undefined || idempotencyPattern.test(key)) return key;
+  throw createMalformed(
+    "read idempotency key",
+    `header ${idempotencyHeader} must be 1 to 128 visible ASCII characters`,
+  );
+}
+
+function readSingle(
   message: IncomingMessage,
   name: string,
 ): string | undefined {
-  const value = message.headers[name];
-  return Array.isArray(value) ? value[0] : value;
+  return message.headersDistinct[name]?.[0];
 }
 
-/** Drops the router's own headers, so that a caller cannot forge them. */
-function removeReserved(
-  headers: Record<string, string>,
-): Record<string, string> {
-  const entries = Object.entries(headers)
+/**
+ * Drops the router's own headers, so that a caller cannot forge them, and
+ * those that the caller declared to belong to this connection only.
+ */
+function selectHeaders(message: IncomingMessage): Record<string, string> {
+  const connectionHeaders = (message.headers.connection ?? "")
+    .split(",")
+    .map((name) => name.trim().toLowerCase());
+  const entries = Object.entries(flattenHeaders(message.headers))
     .filter(([name]) => !name.startsWith(reservedHeaderPrefix))
+    .filter(([name]) => !connectionHeaders.includes(name))
     .filter(([name]) => name !== "content-length");
   return Object.fromEntries(entries);
 }
 
-async function readBody(
-  message: IncomingMessage,
-  maxBytes: number,
-): Promise<Uint8Array> {
-  const chunks: Uint8Array[] = [];
-  let totalBytes = 0;
-  try {
-    for await (const chunk of message as AsyncIterable<Uint8Array>) {
-      totalBytes += chunk.length;
-      if (totalBytes > maxBytes) throw createTooLarge(maxBytes);
-      chunks.push(chunk);
-    }
-  } catch (error) {
-    if (error instanceof RouterError) throw error;
-    throw new RouterError(MessageCode.BodyTruncated, "read body", {
-      cause: error,
-    });
-  }
-  return Buffer.concat(chunks);
+function createMalformed(step: string, detail: string): RouterError {
+  return new RouterError(MessageCode.RequestMalformed, step, { detail });
 }
 
 function createTooLarge(maxBytes: number): RouterError {
--- a/src/services/metrics/metrics.ts
+++ b/src/services/metrics/metrics.ts
@@ -12,6 +12,7 @@
   RequestsAnswered = "requests.answered",
   RequestsRefused = "requests.refused",
   RequestsMalformed = "requests.malformed",
+  AnswersBroken = "answers.broken",
   RequestsForwarded = "requests.forwarded",
   AttemptsSent = "attempts.sent",
   AttemptsRetried = "attempts.retried",
--- a/src/services/metrics/statsd_metrics.ts
+++ b/src/services/metrics/statsd_metrics.ts
@@ -12,6 +12,10 @@
   type TimingName,
 } from "./metrics.ts";
 
+const maxTagsPerCounter = 64;
+const maxCustomerLabels = 200;
+/** Stands for every tag or customer beyond the bounds. */
+const overflowLabel = "other";
 const highestTrackedUs = 600_000_000;
 const microsecondsPerMs = 1_000;
 
@@ -22,6 +26,10 @@
   readonly daemonId: string;
 }
 
+interface TaggedCounter {
+  readonly countByTag: Map<string, number>;
+}
+
 interface LabelledHistogram {
   readonly timing: TimingName;
   readonly customer: string;
@@ -31,7 +39,8 @@
 
 /** Metrics in memory and over StatsD. */
 export class StatsdMetrics extends Metrics {
-  readonly #counters = new Map<string, number>();
+  readonly #counters = new Map<CounterName, TaggedCounter>();
+  readonly #customers = new Set<string>();
   readonly #histograms = new Map<string, LabelledHistogram>();
   readonly #client: StatsD | undefined;
 
@@ -49,13 +58,10 @@
   }
 
   override count(name: CounterName, tag?: string, by = 1): void {
-    const fullName = tag === undefined ? name : `${name}{${tag}}`;
-    this.#counters.set(fullName, (this.#counters.get(fullName) ?? 0) + by);
-    this.#client?.increment(
-      name,
-      by,
-      tag === undefined ? [] : [`cause:${tag}`],
-    );
+    const { countByTag } = this.#counterOf(name);
+    const label = boundLabel(tag ?? "", countByTag, maxTagsPerCounter);
+    countByTag.set(label, (countByTag.get(label) ?? 0) + by);
+    this.#client?.increment(name, by, label === "" ? [] : [`cause:${label}`]);
   }
 
   override record(
@@ -63,23 +69,45 @@
     durationMs: number,
     labels: { readonly customer: string; readonly requestClass: RequestClass },
   ): void {
+    const customer = this.#boundCustomer(labels.customer);
     const durationUs = Math.round(durationMs * microsecondsPerMs);
-    this.#histogramOf(timing, labels)
+    this.#histogramOf(timing, { ...labels, customer })
       .recordValue(Math.min(Math.max(durationUs, 1), highestTrackedUs));
     this.#client?.histogram(timing, durationMs, [
-      `customer:${labels.customer}`,
+      `customer:${customer}`,
       `class:${labels.requestClass}`,
     ]);
   }
 
   override counters(): ReadonlyMap<string, number> {
-    return this.#counters;
+    const counters = new Map<string, number>();
+    for (const [name, { countByTag }] of this.#counters) {
+      for (const [tag, count] of countByTag) {
+        counters.set(tag === "" ? name : `${name}{${tag}}`, count);
+      }
+    }
+    return counters;
   }
 
   override histograms(): readonly HistogramSummary[] {
     return [...this.#histograms.values()].map(summarize);
   }
 
+  #counterOf(name: CounterName): TaggedCounter {
+    const known = this.#counters.get(name);
+    if (known !== undefined) return known;
+    const counter = { countByTag: new Map<string, number>() };
+    this.#counters.set(name, counter);
+    return counter;
+  }
+
+  /** Keeps the number of histograms bounded, whatever callers send. */
+  #boundCustomer(customer: string): string {
+    const label = boundLabel(customer, this.#customers, maxCustomerLabels);
+    this.#customers.add(label);
+    return label;
+  }
+
   #histogramOf(
     timing: TimingName,
     labels: { readonly customer: string; readonly requestClass: RequestClass },
@@ -96,11 +124,21 @@
   }
 }
 
+/** Returns the label, or the overflow label when there are too many. */
+function boundLabel(
+  label: string,
+  known: { readonly size: number; has(label: string): boolean },
+  maxCount: number,
+): string {
+  if (known.has(label) || known.size < maxCount) return label;
+  return overflowLabel;
+}
+
 function createClient(address: string, daemonId: string): StatsD {
-  const [host, port] = address.split(":");
+  const portIndex = address.lastIndexOf(":");
   return new StatsD({
-    host: host ?? "127.0.0.1",
-    port: Number(port),
+    host: address.slice(0, portIndex),
+    port: Number(address.slice(portIndex + 1)),
     prefix: "skylarkridge.",
     globalTags: { daemon: daemonId },
     maxBufferSize: 1_400,
--- a/src/services/peers/forward_codec.ts
+++ b/src/services/peers/forward_codec.ts
@@ -25,6 +25,7 @@
   method: z.string(),
   path: z.string(),
   headers: z.record(z.string(), z.string()),
+  planRank: z.number().optional(),
   remainingMs: z.number(),
 });
 
--- a/src/services/peers/http_peer_server.ts
+++ b/src/services/peers/http_peer_server.ts
@@ -15,22 +15,30 @@
 import type { DescService } from "@bufbuild/protobuf";
 import type { ConnectRouter, ServiceImpl } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
-import { MessageCode } from "../../diagnostics/messages.ts";
+import {
+  formatPublicMessage,
+  MessageCode,
+} from "../../diagnostics/messages.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
-import { RouterError } from "../../types/errors.ts";
 import { CounterName } from "../metrics/metrics.ts";
 import { handleForward } from "./forward_handler.ts";
 import { PeerServer } from "./peer_server.ts";
 import { forwardPath } from "./forward_codec.ts";
 
 const statusUnauthorized = 401;
+const requestTimeoutMs = 60_000;
+const headersTimeoutMs = 5_000;
+/** A forwarded head travels in base64 inside another head. */
+const forwardedHeadFactor = 4;
 
 /** Settings of the peer listener. */
 export interface HttpPeerServerOptions {
   readonly host: string;
   readonly port: number;
   readonly secret: string;
+  /** The largest head that the callers' listener accepts. */
+  readonly maxHeaderBytes: number;
 }
 
 /** Serves peers and operators over HTTP. */
@@ -62,9 +70,19 @@
 
   override async start(services: ServiceLookup): Promise<void> {
     this.#services = services;
-    const server = createServer((request, response) =>
-      this.#handle(request, response)
+    const server = createServer(
+      {
+        maxHeaderSize: this.#options.maxHeaderBytes * forwardedHeadFactor,
+        headersTimeout: headersTimeoutMs,
+        requestTimeout: requestTimeoutMs,
+      },
+      (request, response) => this.#handle(request, response),
     );
+    server.on("clientError", (_error, socket) => {
+      services.get(ServiceName.Metrics)
+        .count(CounterName.PeerErrors, MessageCode.RequestMalformed);
+      socket.destroy();
+    });
     this.#server = server;
     await listen(server, this.#options);
   }
@@ -89,12 +107,7 @@
     if (services === undefined) return void response.destroy();
     if (!isSecretEqual(request.headers.authorization, this.#options.secret)) {
       services.get(ServiceName.Metrics).count(CounterName.PeerUnauthorized);
-      const error = new RouterError(MessageCode.PeerUnauthorized, "accept", {
-        peer: request.socket.remoteAddress ?? "",
-      });
-      response.writeHead(statusUnauthorized, { "content-type": "text/plain" });
-      response.end(error.message);
-      return;
+      return refuseStranger(response);
     }
     if (request.url === forwardPath) {
       handleForward(services, { request, response });
@@ -109,6 +122,17 @@
   }
 }
 
+/** Answers without a word about the service behind the listener. */
+function refuseStranger(response: ServerResponse): void {
+  const code = MessageCode.PeerUnauthorized;
+  const message = formatPublicMessage(code, undefined);
+  response.writeHead(statusUnauthorized, {
+    "content-type": "application/json",
+    connection: "close",
+  });
+  response.end(JSON.stringify({ code, message }));
+}
+
 /** Starts listening; rejects when the address is not available. */
 export function listen(
   server: Server,
--- /dev/null
+++ b/src/services/pipeline/admitting_pipeline.ts
@@ -0,0 +1,171 @@
+/**
+ * Serves requests: one straight task for each, from admission to the last byte
+ * of the answer. Refunds the allowance when nothing reached a backend server,
+ * and records the wait, service and total time of each customer and class.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { MessageCode } from "../../diagnostics/messages.ts";
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { AttemptOutcome } from "../../types/enums.ts";
+import { RouterError, toRouterError } from "../../types/errors.ts";
+import type { RoutedRequest, RoutedResponse } from "../../types/types.ts";
+import { CounterName, TimingName } from "../metrics/metrics.ts";
+import { RefusalHistory, type RefusalRecord } from "./refusal_history.ts";
+import { type RejectedRequest, RequestPipeline } from "./request_pipeline.ts";
+import { RequestScope } from "./request_scope.ts";
+
+const refusalCapacity = 2_000;
+
+/** Admits with the admission service and delivers with the delivery service. */
+export class AdmittingPipeline extends RequestPipeline {
+  readonly #refusals = new RefusalHistory(refusalCapacity);
+  #services: ServiceLookup | undefined;
+  #inFlightCount = 0;
+
+  override get needs(): readonly ServiceName[] {
+    return [
+      ServiceName.Clock,
+      ServiceName.Metrics,
+      ServiceName.Admission,
+      ServiceName.Delivery,
+    ];
+  }
+
+  override start(services: ServiceLookup): Promise<void> {
+    this.#services = services;
+    return Promise.resolve();
+  }
+
+  override inFlightCount(): number {
+    return this.#inFlightCount;
+  }
+
+  override tryFindRefusal(requestId: string): RefusalRecord | undefined {
+    return this.#refusals.tryFind(requestId);
+  }
+
+  override async run(
+    request: RoutedRequest,
+    signal: AbortSignal,
+  ): Promise<Result<RoutedResponse, RouterError>> {
+    const services = this.#services!;
+    const clock = services.get(ServiceName.Clock);
+    services.get(ServiceName.Metrics).count(CounterName.RequestsReceived);
+    this.#inFlightCount += 1;
+    const scope = new RequestScope(clock, request, {
+      callerSignal: signal,
+      onEnd: () => void (this.#inFlightCount -= 1),
+    });
+    const result = await this.#admitAndDeliver(request, scope);
+    if (result.isOk()) {
+      const body = this.#meterBody(result.value.body, request, scope);
+      return ok({ ...result.value, body });
+    }
+    scope.end();
+    this.#refuse(request, result.error);
+    return err(result.error);
+  }
+
+  override reject(rejected: RejectedRequest, failure: RouterError): void {
+    this.#services!.get(ServiceName.Metrics)
+      .count(CounterName.RequestsMalformed, failure.code);
+    this.#remember(rejected, failure);
+  }
+
+  async #admitAndDeliver(
+    request: RoutedRequest,
+    scope: RequestScope,
+  ): Promise<Result<RoutedResponse, RouterError>> {
+    const services = this.#services!;
+    const ticket = await services.get(ServiceName.Admission)
+      .admit(request, scope.signal);
+    if (ticket.isErr()) return err(ticket.error);
+    scope.markAdmitted();
+    const { planRank, refund } = ticket.value;
+    const result = await this.#deliver({ ...request, planRank }, scope);
+    if (result.isOk()) {
+      this.#recordFirstByte(request, scope, result.value.queuedMs ?? 0);
+    } else if (result.error.outcome === AttemptOutcome.NotSent) {
+      refund.call(ticket.value);
+    }
+    return result;
+  }
+
+  /** Delivers; what is thrown unexpectedly may have run. */
+  async #deliver(
+    request: RoutedRequest,
+    scope: RequestScope,
+  ): Promise<Result<RoutedResponse, RouterError>> {
+    try {
+      return await this.#services!.get(ServiceName.Delivery)
+        .deliver(request, scope.signal);
+    } catch (error) {
+      return err(toRouterError(error, MessageCode.Internal, {
+        step: "deliver",
+        outcome: AttemptOutcome.Unknown,
+      }));
+    }
+  }
+
+  #recordFirstByte(
+    request: RoutedRequest,
+    scope: RequestScope,
+    queuedMs: number,
+  ): void {
+    const metrics = this.#services!.get(ServiceName.Metrics);
+    const { admissionMs, deliveryMs } = scope.elapsed();
+    const waitMs = admissionMs + queuedMs;
+    metrics.record(TimingName.Wait, waitMs, request);
+    metrics.record(TimingName.Service, deliveryMs - queuedMs, request);
+  }
+
+  /** Passes the body on; accounts for the request when the body ends. */
+  async *#meterBody(
+    body: AsyncIterable<Uint8Array>,
+    request: RoutedRequest,
+    scope: RequestScope,
+  ): AsyncGenerator<Uint8Array> {
+    const metrics = this.#services!.get(ServiceName.Metrics);
+    let isComplete = false;
+    try {
+      for await (const chunk of body) {
+        throwIfAborted(scope.signal);
+        yield chunk;
+      }
+      isComplete = true;
+    } finally {
+      scope.end();
+      const { totalMs } = scope.elapsed();
+      if (isComplete) metrics.record(TimingName.Total, totalMs, request);
+      metrics.count(
+        isComplete ? CounterName.RequestsAnswered : CounterName.AnswersBroken,
+      );
+    }
+  }
+
+  #refuse(request: RoutedRequest, failure: RouterError): void {
+    this.#services!.get(ServiceName.Metrics)
+      .count(CounterName.RequestsRefused, failure.code);
+    const { requestId, customer, service, key } = request;
+    this.#remember({ requestId, customer, service, key }, failure);
+  }
+
+  #remember(rejected: RejectedRequest, failure: RouterError): void {
+    const services = this.#services!;
+    this.#refusals.add({
+      ...rejected,
+      failure,
+      wallTimeMs: services.get(ServiceName.Clock).wallTimeMs(),
+      listsVersion: services.tryGet(ServiceName.Lists)?.current()?.version,
+    });
+  }
+}
+
+function throwIfAborted(signal: AbortSignal): void {
+  if (!signal.aborted) return;
+  throw new RouterError(MessageCode.AnswerBroken, "stream answer", {
+    outcome: AttemptOutcome.Answered,
+    cause: signal.reason,
+  });
+}
--- a/src/types/types.ts
+++ b/src/types/types.ts
@@ -130,6 +130,8 @@
   readonly body: Uint8Array;
   /** Local monotonic instant after which the answer is of no use. */
   readonly deadlineAtMs: number;
+  /** Order of shedding under overload; the highest rank is shed last. */
+  readonly planRank?: number;
 }
 
 /** A backend server's answer; the body streams. */
@@ -137,6 +139,8 @@
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: AsyncIterable<Uint8Array>;
+  /** Time spent in the home's queue; part of the request's wait. */
+  readonly queuedMs?: number;
 }
 
 /** One allowance: `count` requests in each window of `windowMs`. */
