--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -14,15 +14,17 @@
 import { HttpEntry } from "../services/entry/http_entry.ts";
 import { SlotHome } from "../services/home/slot_home.ts";
 import { StoredLists } from "../services/lists/stored_lists.ts";
+import { DaemonLifecycle } from "../services/lifecycle/daemon_lifecycle.ts";
 import { ConsolaLog } from "../services/log/consola_log.ts";
 import { SyncedMembership } from "../services/membership/synced_membership.ts";
 import { StatsdMetrics } from "../services/metrics/statsd_metrics.ts";
 import { ConnectOperator } from "../services/operator/connect_operator.ts";
 import { CoordinatedOwnership } from "../services/ownership/coordinated_ownership.ts";
 import { LeastLoadedPlacement } from "../services/ownership/least_loaded_placement.ts";
+import { AdmittingPipeline } from "../services/pipeline/admitting_pipeline.ts";
 import { HttpPeerServer } from "../services/peers/http_peer_server.ts";
 import { HttpPeerTransport } from "../services/peers/http_peer_transport.ts";
-import type { Settings } from "./settings.ts";
+import type { Settings } from "./settings_schema.ts";
 
 const connectTimeoutMs = 500;
 const peerCallTimeoutMs = 1_000;
@@ -122,7 +124,8 @@
     .register(new SlotHome())
     .register(new RetryingDelivery())
     .register(new StoredLists())
-    .register(new OpenAdmission());
+    .register(new OpenAdmission())
+    .register(new AdmittingPipeline());
 }
 
 function registerFaces(kernel: Kernel, settings: Settings): void {
@@ -131,8 +134,10 @@
       new HttpPeerServer({
         ...splitAddress(settings.peerAddress),
         secret: settings.peerSecret,
+        maxHeaderBytes: settings.maxHeaderBytes,
       }),
     )
+    .register(new DaemonLifecycle())
     .register(new ConnectOperator())
     .register(
       new HttpEntry({ ...settings, ...splitAddress(settings.entryAddress) }),
@@ -147,6 +152,7 @@
 function splitAddress(
   address: string,
 ): { readonly host: string; readonly port: number } {
-  const [host = "", port = ""] = address.split(":");
-  return { host, port: Number(port) };
+  const portIndex = address.lastIndexOf(":");
+  const host = address.slice(0, portIndex).replace(/^\[|\]$/g, "");
+  return { host, port: Number(address.slice(portIndex + 1)) };
 }
