Bound permits by the authority behind them; prove losses, pauses and outages

Change: a permit outlasts the authority at the moment it is given by at most 1,300 ms, which a successor waits out; daemons sync faster while a move is pending; a daemon that reaches the table but not the coordinator writes a challenge, and a coordinator that hears fewer than half of its members yields to it.

Ruled out: shorter permits for everyone (a takeover would pause every key).

--- a/src/services/ownership/authority.ts
+++ b/src/services/ownership/authority.ts
@@ -80,11 +80,6 @@
     return Math.max(this.#rowExpiresAtMs, this.#majorityExpiresAtMs(nowMs));
   }
 
-  /** Whether this daemon may decide now. */
-  isHeld(nowMs: number): boolean {
-    return nowMs < this.expiresAtMs(nowMs);
-  }
-
   #majorityExpiresAtMs(nowMs: number): number {
     const ends = this.#electorates.map((members) =>
       this.#majorityTokenMs(members, nowMs) + this.#leaseDurationMs
--- a/src/services/ownership/control_options.ts
+++ b/src/services/ownership/control_options.ts
@@ -14,10 +14,15 @@
   readonly leaseDurationMs: number;
 }
 
+/**
+ * Time by which a permit may outlast the coordinator's authority at the moment
+ * it was given. A successor waits this long before it replaces a lost home.
+ */
+export const permitOverhangMs = 1_300;
 /** Interval at which the coordinator looks for something to decide. */
 export const decisionIntervalMs = 100;
 /** Interval at which a daemon that may take over reads the lease row. */
-export const watchIntervalMs = 250;
+export const watchIntervalMs = 150;
 /** Time after which a call to a peer is given up. */
 export const callTimeoutMs = 400;
 /** Syncs that a daemon may miss before it counts as lost. */
@@ -26,6 +31,8 @@
 export const memberForgetMs = 10_000;
 /** Time for the daemons of a new region to arrive before it is assigned. */
 export const firstAssignmentDelayMs = 600;
+/** Interval between two challenges of a daemon, and between two looks at them. */
+export const challengeIntervalMs = 400;
 /** Daemons, by rank among the members, that watch the lease row. */
 export const watcherCount = 3;
 /** Delay between the takeover attempts of two watchers. */
--- a/src/services/ownership/coordinator.ts
+++ b/src/services/ownership/coordinator.ts
@@ -56,7 +56,7 @@
     this.authority = new Authority(state.selfId(), leaseDurationMs);
     this.#ledger = new PermitLedger({
       permitDurationMs,
-      takenOverAtMs: origin.previousEndedAtMs,
+      previousEndedAtMs: origin.previousEndedAtMs,
       previousHolderId: origin.previousHolderId,
     });
   }
@@ -118,9 +118,9 @@
 
   /** Gives a permit of the returned duration; 0 without authority. */
   givePermit(daemonId: DaemonId, nowMs: number): number {
-    if (!this.#isLoaded || !this.authority.isHeld(nowMs)) return 0;
-    this.#ledger.recordGrant(daemonId, nowMs);
-    return this.#state.options.permitDurationMs;
+    const authorityEndsAtMs = this.authority.expiresAtMs(nowMs);
+    if (!this.#isLoaded || nowMs >= authorityEndsAtMs) return 0;
+    return this.#ledger.grant(daemonId, { nowMs, authorityEndsAtMs });
   }
 
   /** The epoch for the next renewal: above every promise that was reported. */
@@ -143,6 +143,14 @@
     this.#forgetVersions();
   }
 
+  /** Whether fewer than half of the members were heard lately. */
+  isIsolated(nowMs: number): boolean {
+    const live = new Set(this.#listLive(nowMs).map((d) => d.daemonId));
+    const { members } = this.#state.record.view();
+    const heard = members.filter(({ daemonId }) => live.has(daemonId));
+    return 2 * heard.length < members.length;
+  }
+
   /** Whether another live daemon could take the lease. */
   hasSuccessor(nowMs: number): boolean {
     const selfId = this.#state.selfId();
--- a/src/services/ownership/coordinator_row.ts
+++ b/src/services/ownership/coordinator_row.ts
@@ -28,6 +28,17 @@
   members: z.array(daemonSchema),
 });
 
+const challengeRowSchema = z.object({
+  epoch: z.number(),
+  daemonId: z.string(),
+});
+
+/** A daemon's complaint that it cannot reach the coordinator of an epoch. */
+export interface ChallengeRow {
+  readonly epoch: number;
+  readonly daemonId: DaemonId;
+}
+
 /** Who coordinates a region. */
 export interface LeaseRow {
   /** Rises with each change of holder, and never falls. */
@@ -57,6 +68,16 @@
   return `members/${region}`;
 }
 
+/** Key of the challenge row. */
+export function challengeRowKey(region: string): string {
+  return `challenge/${region}`;
+}
+
+/** Reads a challenge row; throws when it is malformed. */
+export function decodeChallengeRow(text: string): ChallengeRow {
+  return challengeRowSchema.parse(JSON.parse(text));
+}
+
 /** Reads a lease row; throws when it is malformed. */
 export function decodeLeaseRow(text: string): LeaseRow {
   return leaseRowSchema.parse(JSON.parse(text));
--- a/src/services/ownership/lease_store.ts
+++ b/src/services/ownership/lease_store.ts
@@ -16,6 +16,9 @@
 } from "./assignment_codec.ts";
 import type { ControlState } from "./control_state.ts";
 import {
+  type ChallengeRow,
+  challengeRowKey,
+  decodeChallengeRow,
   decodeLeaseRow,
   decodeMembersRow,
   type LeaseRow,
@@ -44,6 +47,11 @@
   readonly receivedAtMs: number;
 }
 
+/** A challenge with the table's version of its row. */
+export interface ReadChallenge extends ChallengeRow {
+  readonly version: number;
+}
+
 /** One transaction. */
 export interface LeaseCommit {
   /** The table's version of the lease row that this write replaces. */
@@ -93,6 +101,23 @@
     return rows.value.map(({ value }) => decodeAssignmentRow(value));
   }
 
+  /** Reads the challenge row with its version. */
+  async tryReadChallenge(): Promise<ReadChallenge | undefined> {
+    const key = challengeRowKey(this.#state.options.region);
+    const row = (await this.#tryRead(key))?.row;
+    return row && { version: row.version, ...decodeChallengeRow(row.value) };
+  }
+
+  /** Complains that the coordinator of `epoch` cannot be reached. */
+  async writeChallenge(epoch: number): Promise<void> {
+    const { table, metrics, options } = this.#state;
+    const key = challengeRowKey(options.region);
+    if (await this.#tryRead(key) === undefined) return;
+    const challenge = { epoch, daemonId: this.#state.selfId() };
+    metrics.count(CounterName.PlatformWrites);
+    await table.commit([this.#createWrite(key, JSON.stringify(challenge))]);
+  }
+
   /** Whether a lease row was written by this daemon. */
   isOwnWrite(lease: LeaseRow): boolean {
     return this.#writeIds.includes(lease.writeId);
--- a/src/services/ownership/lease_task.ts
+++ b/src/services/ownership/lease_task.ts
@@ -5,7 +5,11 @@
 import { CounterName } from "../metrics/metrics.ts";
 import type { DaemonInfo } from "../../types/types.ts";
 import { type AssignmentRow } from "./assignment_codec.ts";
-import { decisionIntervalMs, watchIntervalMs } from "./control_options.ts";
+import {
+  challengeIntervalMs,
+  decisionIntervalMs,
+  watchIntervalMs,
+} from "./control_options.ts";
 import type { ControlState } from "./control_state.ts";
 import type { Coordinator } from "./coordinator.ts";
 import { vacantHolderId } from "./coordinator_row.ts";
@@ -30,6 +34,8 @@
   #renewalCount = 0;
   #renewedAtMs = Number.NEGATIVE_INFINITY;
   #mustReload = true;
+  #challengeReadAtMs = Number.NEGATIVE_INFINITY;
+  #challengeVersion: number | undefined;
 
   constructor(state: ControlState, store: LeaseStore) {
     this.#state = state;
@@ -73,7 +79,12 @@
       nowMs,
     );
     const decision = decide(this.#state, { coordinator, nowMs });
-    if (this.#mayResign(coordinator, nowMs)) return await this.#resign();
+    if (this.#mayResign(coordinator, nowMs)) {
+      return await this.#resign("draining");
+    }
+    if (await this.#isChallenged(coordinator, nowMs)) {
+      return await this.#resign("the members cannot reach this daemon");
+    }
     const isRenewalDue =
       nowMs - this.#renewedAtMs >= this.#state.options.syncIntervalMs;
     const isChanged = decision.rows.length > 0 || decision.isMembersChanged;
@@ -168,9 +179,25 @@
     return !isHome && coordinator.hasSuccessor(nowMs);
   }
 
-  async #resign(): Promise<void> {
+  /** A coordinator that hears few members yields when one complains. */
+  async #isChallenged(
+    coordinator: Coordinator,
+    nowMs: number,
+  ): Promise<boolean> {
+    if (!coordinator.isIsolated(nowMs)) return false;
+    if (nowMs - this.#challengeReadAtMs < challengeIntervalMs) return false;
+    this.#challengeReadAtMs = nowMs;
+    const challenge = await this.#store.tryReadChallenge();
+    const before = this.#challengeVersion;
+    if (challenge === undefined) return false;
+    this.#challengeVersion = challenge.version;
+    return challenge.epoch === coordinator.epoch() &&
+      challenge.version !== before;
+  }
+
+  async #resign(cause: string): Promise<void> {
     const { epoch, membersVersion } = this.#state.record.view();
-    this.#state.stopCoordinating("draining");
+    this.#state.stopCoordinating(cause);
     await this.#store.commit({
       leaseVersion: this.#leaseVersion,
       lease: {
--- /dev/null
+++ b/src/services/ownership/partition_test.ts
@@ -0,0 +1,141 @@
+import * as assert from "uvu/assert";
+import { FencingMode } from "../../types/enums.ts";
+import { describe, it } from "../../testing/describe.ts";
+import {
+  findCoordinator,
+  findHome,
+  getAssignment,
+  getLease,
+  hasPermit,
+  listHomes,
+} from "../../testing/fleet_queries.ts";
+import { KeyTraffic } from "../../testing/key_traffic.ts";
+import { type TestDaemon, TestFleet } from "../../testing/test_fleet.ts";
+
+const recoveryLimitMs = 3_000;
+const quietGapMs = 300;
+
+async function startFleet(
+  seed: number,
+  daemonCount = 4,
+): Promise<{ fleet: TestFleet; traffic: KeyTraffic }> {
+  const fleet = new TestFleet({
+    seed,
+    daemonCount,
+    serverCount: 4,
+    definition: { fencingMode: FencingMode.Unchecked },
+  });
+  await fleet.start();
+  const traffic = new KeyTraffic(fleet);
+  await traffic.run(1_000);
+  return { fleet, traffic };
+}
+
+function cutFromPeers(fleet: TestFleet, daemon: TestDaemon): void {
+  for (const other of fleet.daemons) {
+    if (other !== daemon) fleet.network.cut(daemon.address, other.address);
+  }
+}
+
+describe("pause and partition", () => {
+  describe("a frozen home daemon", () => {
+    it("sends nothing on its old permit after the thaw", async () => {
+      const { fleet, traffic } = await startFleet(21);
+      const home = findHome(fleet);
+      const { serverId } = getAssignment(fleet).servers
+        .find((s) => s.homeDaemonId === home.daemonId)!;
+      assert.ok(hasPermit(home, serverId));
+      home.clock.freeze();
+      await traffic.run(4_000);
+      traffic.exclude(home);
+      assert.not(listHomes(fleet).has(home.daemonId));
+      home.clock.thaw();
+      assert.not(hasPermit(home, serverId));
+      await traffic.run(2_000);
+      assert.equal(traffic.violations(), []);
+      await fleet.stop();
+    });
+  });
+
+  describe("a frozen coordinator", () => {
+    it("is replaced, and follows its successor after the thaw", async () => {
+      const { fleet, traffic } = await startFleet(22);
+      const coordinator = findCoordinator(fleet);
+      const { epoch } = getLease(fleet);
+      traffic.exclude(coordinator);
+      const fromMs = fleet.clock.nowMs();
+      coordinator.clock.freeze();
+      await traffic.run(4_000);
+      const gapMs = traffic.longestGapMs(fromMs);
+      assert.ok(gapMs <= recoveryLimitMs, `paused for ${gapMs} ms`);
+      assert.ok(getLease(fleet).epoch > epoch);
+      coordinator.clock.thaw();
+      await traffic.run(2_000);
+      assert.is.not(findCoordinator(fleet), coordinator);
+      assert.ok(coordinator.log.lines.includes("stopped coordinating"));
+      assert.equal(traffic.violations(), []);
+      await fleet.stop();
+    });
+  });
+
+  describe("a coordinator without the store", () => {
+    it("loses the lease, and no key pauses for longer than 3 s", async () => {
+      const { fleet, traffic } = await startFleet(23);
+      const coordinator = findCoordinator(fleet);
+      const fromMs = fleet.clock.nowMs();
+      fleet.platform.cutOff.add(coordinator.daemonId);
+      await traffic.run(5_000);
+      assert.is.not(findCoordinator(fleet), coordinator);
+      const gapMs = traffic.longestGapMs(fromMs);
+      assert.ok(gapMs <= recoveryLimitMs, `paused for ${gapMs} ms`);
+      assert.equal(traffic.violations(), []);
+      await fleet.stop();
+    });
+  });
+
+  describe("a coordinator without peers", () => {
+    it("yields the lease that it could still renew", async () => {
+      const { fleet, traffic } = await startFleet(24);
+      const coordinator = findCoordinator(fleet);
+      traffic.exclude(coordinator);
+      const fromMs = fleet.clock.nowMs();
+      cutFromPeers(fleet, coordinator);
+      await traffic.run(7_000);
+      assert.is.not(findCoordinator(fleet), coordinator);
+      assert.not(listHomes(fleet).has(coordinator.daemonId));
+      const gapMs = traffic.longestGapMs(fromMs);
+      assert.ok(gapMs <= 4_500, `paused for ${gapMs} ms`);
+      assert.equal(traffic.violations(), []);
+      await fleet.stop();
+    });
+  });
+
+  describe("a home without peers", () => {
+    it("loses its servers to daemons that can be reached", async () => {
+      const { fleet, traffic } = await startFleet(25);
+      const home = findHome(fleet);
+      traffic.exclude(home);
+      const fromMs = fleet.clock.nowMs();
+      cutFromPeers(fleet, home);
+      await traffic.run(4_000);
+      assert.not(listHomes(fleet).has(home.daemonId));
+      const gapMs = traffic.longestGapMs(fromMs);
+      assert.ok(gapMs <= recoveryLimitMs, `paused for ${gapMs} ms`);
+      assert.equal(traffic.violations(), []);
+      await fleet.stop();
+    });
+  });
+
+  describe("a home without the store", () => {
+    it("goes on serving", async () => {
+      const { fleet, traffic } = await startFleet(26);
+      const home = findHome(fleet);
+      const fromMs = fleet.clock.nowMs();
+      fleet.platform.cutOff.add(home.daemonId);
+      await traffic.run(5_000);
+      assert.ok(listHomes(fleet).has(home.daemonId));
+      assert.ok(traffic.longestGapMs(fromMs) <= quietGapMs);
+      await fleet.stop();
+    });
+  });
+});
--- a/src/services/ownership/permit_ledger.ts
+++ b/src/services/ownership/permit_ledger.ts
@@ -7,32 +7,48 @@
  * coordinator gave itself and dated.
  */
 import type { DaemonId } from "../../types/types.ts";
+import { permitOverhangMs } from "./control_options.ts";
 
 /** Dates permits by the coordinator's monotonic clock. */
 export class PermitLedger {
   readonly #permitDurationMs: number;
   readonly #lapseAtMs = new Map<DaemonId, number>();
   readonly #indirect = new Set<DaemonId>();
-  #inheritedLapseAtMs: number;
+  readonly #inheritedLapseAtMs: number;
   readonly #previousHolderId: DaemonId | undefined;
 
   /**
-   * `takenOverAtMs` is the instant at which the previous coordinator had
-   * certainly lost its authority; permits that it gave outlive it.
+   * `previousEndedAtMs` is the instant at which the previous coordinator had
+   * certainly lost its authority; permits that it gave outlast that by at most
+   * the overhang.
    */
   constructor(options: {
     readonly permitDurationMs: number;
-    readonly takenOverAtMs: number;
+    readonly previousEndedAtMs: number;
     readonly previousHolderId: DaemonId | undefined;
   }) {
     this.#permitDurationMs = options.permitDurationMs;
-    this.#inheritedLapseAtMs = options.takenOverAtMs + options.permitDurationMs;
+    this.#inheritedLapseAtMs = options.previousEndedAtMs + permitOverhangMs;
     this.#previousHolderId = options.previousHolderId;
   }
 
-  /** Records a permit that this daemon is about to give. */
-  recordGrant(daemonId: DaemonId, nowMs: number): void {
-    this.#lapseAtMs.set(daemonId, nowMs + this.#permitDurationMs);
+  /**
+   * Records a permit that this daemon is about to give, and returns its
+   * duration: shorter when the authority behind it is about to end.
+   */
+  grant(
+    daemonId: DaemonId,
+    { nowMs, authorityEndsAtMs }: {
+      readonly nowMs: number;
+      readonly authorityEndsAtMs: number;
+    },
+  ): number {
+    const durationMs = Math.min(
+      this.#permitDurationMs,
+      authorityEndsAtMs - nowMs + permitOverhangMs,
+    );
+    this.#extend(daemonId, nowMs + durationMs);
+    return durationMs;
   }
 
   /**
@@ -41,7 +57,8 @@
    */
   setIndirect(daemonIds: ReadonlySet<DaemonId>, nowMs: number): void {
     for (const daemonId of this.#indirect) {
-      if (!daemonIds.has(daemonId)) this.recordGrant(daemonId, nowMs);
+      if (daemonIds.has(daemonId)) continue;
+      this.#extend(daemonId, nowMs + this.#permitDurationMs);
     }
     this.#indirect.clear();
     for (const daemonId of daemonIds) this.#indirect.add(daemonId);
@@ -60,4 +77,9 @@
     const dated = this.#lapseAtMs.get(daemonId) ?? inherited;
     return Math.min(general, Math.max(dated, inherited));
   }
+
+  #extend(daemonId: DaemonId, lapseAtMs: number): void {
+    const known = this.#lapseAtMs.get(daemonId) ?? Number.NEGATIVE_INFINITY;
+    this.#lapseAtMs.set(daemonId, Math.max(known, lapseAtMs));
+  }
 }
--- a/src/services/ownership/sync_task.ts
+++ b/src/services/ownership/sync_task.ts
@@ -12,8 +12,9 @@
 import { isInnerNode, tryGetHolder, tryGetParent } from "./sync_tree.ts";
 import { learnLease } from "./view_reader.ts";
 
-/** Divides the interval of a daemon that others wait for. */
+/** Divisors of the interval of a daemon for which others wait, or that waits. */
 const innerNodeDivisor = 2;
+const movingDivisor = 3;
 const releasingDivisor = 4;
 
 /** Syncs until aborted. */
@@ -118,10 +119,10 @@
 function computeIntervalMs(state: ControlState): number {
   const { syncIntervalMs } = state.options;
   const selfId = state.selfId();
-  const isReleasing = state.book.rows().some((row) =>
-    row.pendingReleases.some(({ daemonId }) => daemonId === selfId)
-  );
+  const releases = state.book.rows().flatMap((row) => row.pendingReleases);
+  const isReleasing = releases.some(({ daemonId }) => daemonId === selfId);
   if (isReleasing) return syncIntervalMs / releasingDivisor;
+  if (releases.length > 0) return syncIntervalMs / movingDivisor;
   const isInner = isInnerNode(state.record.view(), selfId);
   return isInner ? syncIntervalMs / innerNodeDivisor : syncIntervalMs;
 }
--- a/src/services/ownership/takeover.ts
+++ b/src/services/ownership/takeover.ts
@@ -8,7 +8,11 @@
 import { CounterName } from "../metrics/metrics.ts";
 import type { DaemonInfo } from "../../types/types.ts";
 import type { ControlState } from "./control_state.ts";
-import { watcherCount, watcherStaggerMs } from "./control_options.ts";
+import {
+  challengeIntervalMs,
+  watcherCount,
+  watcherStaggerMs,
+} from "./control_options.ts";
 import { Coordinator } from "./coordinator.ts";
 import {
   type LeaseRow,
@@ -44,6 +48,7 @@
   readonly #store: LeaseStore;
   #observed: ReadLease | undefined;
   #sentClaim: SentClaim | undefined;
+  #challengedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(state: ControlState, store: LeaseStore) {
     this.#state = state;
@@ -70,7 +75,7 @@
     }
     if (this.#observed?.version !== read.version) {
       this.#observed = read;
-      return;
+      return await this.#challengeIfCutOff(lease);
     }
     const unchangedMs = read.receivedAtMs - this.#observed.receivedAtMs;
     if (unchangedMs < this.#patienceMs()) return;
@@ -85,6 +90,20 @@
     return rankOf(record.view(), this.#state.selfId()) < watcherCount;
   }
 
+  /**
+   * The holder renews its lease, but cannot be reached: it may be cut off
+   * from all daemons while it still reaches the table.
+   */
+  async #challengeIfCutOff(lease: LeaseRow): Promise<void> {
+    const { clock, lastSyncAtMs } = this.#state;
+    const nowMs = clock.nowMs();
+    if (lease.holderId === this.#state.selfId()) return;
+    if (nowMs - lastSyncAtMs < this.#state.options.leaseDurationMs) return;
+    if (nowMs - this.#challengedAtMs < challengeIntervalMs) return;
+    this.#challengedAtMs = nowMs;
+    await this.#store.writeChallenge(lease.epoch);
+  }
+
   /** Watchers of a lower rank act first. */
   #patienceMs(): number {
     const rank = rankOf(this.#state.record.view(), this.#state.selfId());
--- a/src/testing/key_traffic.ts
+++ b/src/testing/key_traffic.ts
@@ -59,6 +59,16 @@
     return Math.max(...gaps.values());
   }
 
+  /** Longest time for which a backend server started nothing. */
+  longestGapOfServerMs(serverId: string, fromMs: number): number {
+    const toMs = this.#fleet.clock.nowMs();
+    const executions = this.#fleet.backends.executions()
+      .filter((execution) => execution.serverId === serverId)
+      .map((execution) => ({ ...execution, key: serverId }));
+    const gaps = computeLongestGapMs(executions, { fromMs, toMs });
+    return gaps.get(serverId) ?? toMs - fromMs;
+  }
+
   /** Breaches that the backend servers' logs show. */
   violations(): readonly Violation[] {
     return findViolations(this.#fleet.backends.executions());
