--- /dev/null
+++ b/src/services/ownership/placement_rates.ts
@@ -0,0 +1,135 @@
+/**
+ * Smooths the request rates that a placement decides by. The share of each
+ * shard is smoothed slowly, so that counting noise moves nothing; the rate of
+ * the service and of its hot keys fast, so that keys are lifted within seconds
+ * and a rise of the whole service leaves the proportions as they are.
+ */
+import type { KeyRate } from "./ownership.ts";
+
+/** Requests counted in one interval. */
+export interface RateSample {
+  readonly intervalMs: number;
+  /** Requests of each shard, hot keys included. */
+  readonly shardCounts: readonly number[];
+  /** Requests of the most requested keys. */
+  readonly keyCounts: readonly KeyCount[];
+}
+
+/** Requests of one key in one interval. */
+export interface KeyCount {
+  readonly key: string;
+  readonly shard: number;
+  readonly count: number;
+}
+
+/** How fast rates follow what was counted. */
+export interface RateSmoothing {
+  /** Time constant of the shares of shards. */
+  readonly shardTimeConstantMs: number;
+  /** Time constant of the rates of the service and of keys. */
+  readonly keyTimeConstantMs: number;
+  /** Keys reported as hot. */
+  readonly hotKeyCount: number;
+}
+
+/** Smoothing that suits intervals of about a second. */
+export const defaultRateSmoothing: RateSmoothing = {
+  shardTimeConstantMs: 20_000,
+  keyTimeConstantMs: 4_000,
+  hotKeyCount: 20,
+};
+
+const millisecondsPerSecond = 1_000;
+const negligibleRate = 0.01;
+
+interface SmoothedKey {
+  readonly shard: number;
+  rate: number;
+}
+
+/** Rates of the shards and hot keys of one service. */
+export class RateEstimator {
+  readonly #smoothing: RateSmoothing;
+  /** Smoothed slowly; only their proportions matter. */
+  readonly #slowRates: number[];
+  #totalRate = 0;
+  readonly #keys = new Map<string, SmoothedKey>();
+  #hotKeys: readonly KeyRate[] = [];
+  #sampleCount = 0;
+
+  constructor(
+    shardCount: number,
+    smoothing: RateSmoothing = defaultRateSmoothing,
+  ) {
+    this.#smoothing = smoothing;
+    this.#slowRates = Array(shardCount).fill(0);
+  }
+
+  /** Takes in what was counted in one interval. */
+  update(sample: RateSample): void {
+    this.#sampleCount += 1;
+    this.#updateKeys(sample);
+    this.#updateShards(sample);
+  }
+
+  /** Requests per second of each shard, hot keys excluded. */
+  shardRates(): readonly number[] {
+    const slowTotal = sum(this.#slowRates);
+    if (slowTotal === 0) return this.#slowRates;
+    return this.#slowRates.map((rate) => rate * this.#totalRate / slowTotal);
+  }
+
+  /** The most requested keys, highest first. */
+  hotKeys(): readonly KeyRate[] {
+    return this.#hotKeys;
+  }
+
+  #updateKeys({ keyCounts, intervalMs }: RateSample): void {
+    const gain = this.#gain(intervalMs, this.#smoothing.keyTimeConstantMs);
+    const counted = new Set<string>();
+    for (const { key, shard, count } of keyCounts) {
+      counted.add(key);
+      const known = this.#keys.get(key) ?? { shard, rate: 0 };
+      known.rate += gain * (toRate(count, intervalMs) - known.rate);
+      this.#keys.set(key, known);
+    }
+    for (const [key, known] of this.#keys) {
+      if (!counted.has(key)) known.rate -= gain * known.rate;
+      if (known.rate < negligibleRate) this.#keys.delete(key);
+    }
+    this.#hotKeys = [...this.#keys]
+      .map(([key, { rate }]) => ({ key, requestsPerSecond: rate }))
+      .sort((a, b) => b.requestsPerSecond - a.requestsPerSecond)
+      .slice(0, this.#smoothing.hotKeyCount);
+  }
+
+  #updateShards({ shardCounts, keyCounts, intervalMs }: RateSample): void {
+    const gain = this.#gain(intervalMs, this.#smoothing.shardTimeConstantMs);
+    const hotNames = new Set(this.#hotKeys.map(({ key }) => key));
+    const counts = shardCounts.slice();
+    for (const { key, shard, count } of keyCounts) {
+      if (hotNames.has(key)) counts[shard] = counts[shard]! - count;
+    }
+    for (const [shard, count] of counts.entries()) {
+      const rate = this.#slowRates[shard]!;
+      this.#slowRates[shard] = rate + gain * (toRate(count, intervalMs) - rate);
+    }
+    const totalGain = this.#gain(intervalMs, this.#smoothing.keyTimeConstantMs);
+    const total = toRate(sum(counts), intervalMs);
+    this.#totalRate += totalGain * (total - this.#totalRate);
+  }
+
+  /** The weight of a new sample; the first ones are averaged evenly. */
+  #gain(intervalMs: number, timeConstantMs: number): number {
+    const steadyGain = 1 - Math.exp(-intervalMs / timeConstantMs);
+    return Math.max(steadyGain, 1 / this.#sampleCount);
+  }
+}
+
+function toRate(count: number, intervalMs: number): number {
+  return count * millisecondsPerSecond / intervalMs;
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
