--- a/src/diagnostics/messages.ts
+++ b/src/diagnostics/messages.ts
@@ -31,6 +31,7 @@
   OutcomeUnknown = "SR5003",
   AnswerBroken = "SR5004",
   RepeatInProgress = "SR5005",
+  RepeatAnswerGone = "SR5006",
   PeerUnreachable = "SR6001",
   PeerUnauthorized = "SR6002",
   PlatformUnavailable = "SR7001",
@@ -68,6 +69,8 @@
   [MessageCode.AnswerBroken]: "the answer was cut short: {0}",
   [MessageCode.RepeatInProgress]:
     "a request with the same idempotency key is in progress",
+  [MessageCode.RepeatAnswerGone]:
+    "the request ran before and its answer is no longer kept",
   [MessageCode.PeerUnreachable]: "the peer daemon is unreachable: {0}",
   [MessageCode.PeerUnauthorized]: "the peer secret is missing or wrong",
   [MessageCode.PlatformUnavailable]: "the platform is unavailable: {0}",
--- a/src/services/entry/http_entry.ts
+++ b/src/services/entry/http_entry.ts
@@ -133,7 +133,7 @@
       .admit(routed, cancelled);
     if (ticket.isErr()) throw ticket.error;
     const result = await services.get(ServiceName.Delivery)
-      .deliver(routed, cancelled);
+      .deliver({ ...routed, planRank: ticket.value.planRank }, cancelled);
     if (result.isErr()) throw result.error;
     response.writeHead(result.value.status, { ...result.value.headers });
     await writeBody(response, result.value.body);
--- a/src/services/entry/refusal.ts
+++ b/src/services/entry/refusal.ts
@@ -25,12 +25,17 @@
     code: failure.code,
     message: failure.message,
     outcome: failure.outcome,
-    mayHaveRun: failure.outcome === AttemptOutcome.Unknown,
+    mayHaveRun: mayHaveRun(failure.outcome),
     limitName: failure.limitName,
     retryAfterMs: failure.retryAfterMs,
   }));
 }
 
+function mayHaveRun(outcome: AttemptOutcome): boolean {
+  return outcome === AttemptOutcome.Unknown ||
+    outcome === AttemptOutcome.Answered;
+}
+
 /** The HTTP status of a failure; codes not listed are a bad gateway. */
 function statusOf(failure: RouterError): number {
   return statusByCode[failure.code] ?? 502;
@@ -54,5 +59,6 @@
   [MessageCode.Overloaded]: 503,
   [MessageCode.RetryBudgetSpent]: 503,
   [MessageCode.RepeatInProgress]: 409,
+  [MessageCode.RepeatAnswerGone]: 409,
   [MessageCode.Internal]: 500,
 };
--- /dev/null
+++ b/src/services/home/buffer_answer.ts
@@ -0,0 +1,68 @@
+/**
+ * Reads the beginning of an answer, so that a small one can be kept for
+ * repeats whether or not its caller is still there.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { MessageCode } from "../../diagnostics/messages.ts";
+import { AttemptOutcome } from "../../types/enums.ts";
+import { type RouterError, toRouterError } from "../../types/errors.ts";
+import type { RoutedResponse } from "../../types/types.ts";
+import type { StoredAnswer } from "./idempotency_records.ts";
+
+/** Answers up to this size are kept whole. */
+const storedAnswerBytes = 16 * 1_024;
+
+/** An answer to hand on, and the copy to keep if it is small. */
+export interface BufferedAnswer {
+  readonly response: RoutedResponse;
+  readonly stored: StoredAnswer | undefined;
+}
+
+/** Reads until the answer ends or is too large to be kept. */
+export async function bufferAnswer(
+  answer: RoutedResponse,
+): Promise<Result<BufferedAnswer, RouterError>> {
+  const iterator = answer.body[Symbol.asyncIterator]();
+  const chunks: Uint8Array[] = [];
+  let length = 0;
+  try {
+    for (;;) {
+      const next = await iterator.next();
+      if (next.done === true) break;
+      chunks.push(next.value);
+      length += next.value.length;
+      if (length > storedAnswerBytes) {
+        const body = joinChunks(chunks, iterator);
+        return ok({ response: { ...answer, body }, stored: undefined });
+      }
+    }
+  } catch (error) {
+    return err(toRouterError(error, MessageCode.AnswerBroken, {
+      step: "read answer",
+      outcome: AttemptOutcome.Answered,
+    }));
+  }
+  const body = Buffer.concat(chunks);
+  const { status, headers } = answer;
+  return ok({
+    response: { ...answer, body: joinChunks([body], undefined) },
+    stored: { status, headers, body },
+  });
+}
+
+/** Yields what was read, then the rest; stopping early stops the rest. */
+async function* joinChunks(
+  chunks: readonly Uint8Array[],
+  rest: AsyncIterator<Uint8Array> | undefined,
+): AsyncGenerator<Uint8Array> {
+  try {
+    yield* chunks;
+    for (;;) {
+      const next = await rest?.next();
+      if (next === undefined || next.done === true) return;
+      yield next.value;
+    }
+  } finally {
+    await rest?.return?.();
+  }
+}
--- /dev/null
+++ b/src/services/home/health_task.ts
@@ -0,0 +1,118 @@
+/**
+ * One task for each homed backend server: probes it, rarely while requests
+ * tell enough, and reports what was observed to the ownership service.
+ */
+import { DeadlineSignal } from "../../host/deadline_signal.ts";
+import { BackendServerState } from "../../types/enums.ts";
+import { CounterName } from "../metrics/metrics.ts";
+import { closeServer } from "./close_server.ts";
+import type { SlotScope } from "./slot_task.ts";
+
+const checkIntervalMs = 50;
+const probeIntervalMs = 1_000;
+const lostProbeIntervalMs = 500;
+const suspectProbeIntervalMs = 100;
+const probeTimeoutMs = 250;
+const reportIntervalMs = 500;
+const reportedKeyCount = 10;
+
+/** When the server was probed and reported last, by the local clock. */
+interface HealthProgress {
+  probedAtMs: number;
+  reportedAtMs: number;
+  reportedState: BackendServerState;
+}
+
+/** Watches one server until it retires. */
+export async function runHealth(
+  scope: SlotScope,
+  signal: AbortSignal,
+): Promise<void> {
+  const { server, context } = scope;
+  const { clock } = context;
+  const progress: HealthProgress = {
+    probedAtMs: Number.NEGATIVE_INFINITY,
+    reportedAtMs: clock.nowMs(),
+    reportedState: server.server.state,
+  };
+  while (!signal.aborted) {
+    const seenCount = server.healthWakeup.count;
+    if (isProbeDue(scope, progress)) {
+      progress.probedAtMs = clock.nowMs();
+      await probe(scope);
+    }
+    noteStateChange(scope, progress);
+    if (clock.nowMs() - progress.reportedAtMs >= reportIntervalMs) {
+      report(scope, progress);
+    }
+    await server.healthWakeup.waitAtMost(clock, {
+      durationMs: checkIntervalMs,
+      seenCount,
+      signal,
+    });
+  }
+}
+
+function isProbeDue(
+  { server, context }: SlotScope,
+  progress: HealthProgress,
+): boolean {
+  const nowMs = context.clock.nowMs();
+  const sinceMs = nowMs - progress.probedAtMs;
+  if (server.health.isSuspect(nowMs)) return sinceMs >= suspectProbeIntervalMs;
+  return server.health.state === BackendServerState.Lost
+    ? sinceMs >= lostProbeIntervalMs
+    : sinceMs >= probeIntervalMs;
+}
+
+async function probe({ server, context }: SlotScope): Promise<void> {
+  const { clock, metrics, transport } = context;
+  const timeout = new DeadlineSignal(clock, {
+    atMs: clock.nowMs() + probeTimeoutMs,
+  });
+  metrics.count(CounterName.ProbesSent);
+  const result = await transport.probe(server.server, timeout.signal);
+  timeout.dispose();
+  const nowMs = clock.nowMs();
+  if (result.isOk()) server.health.noteReport(result.value, nowMs);
+  else server.health.noteProbeFailure(nowMs);
+}
+
+/** Acts on a change of state at once. */
+function noteStateChange(scope: SlotScope, progress: HealthProgress): void {
+  const { server, context } = scope;
+  const { state } = server.health;
+  if (state !== progress.reportedState) {
+    context.log.warn("backend server changed state", {
+      serverId: server.server.serverId,
+      from: progress.reportedState,
+      to: state,
+    });
+    if (progress.reportedState === BackendServerState.Lost) {
+      server.limit.restart();
+      server.grants.invalidateAll();
+      server.grantWakeup.notify();
+    }
+    report(scope, progress);
+  }
+  const reason = server.tryGetClosedReason(context.clock.nowMs());
+  if (reason !== undefined) closeServer(scope, reason);
+}
+
+function report(
+  { server, context }: SlotScope,
+  progress: HealthProgress,
+): void {
+  const nowMs = context.clock.nowMs();
+  const elapsedMs = nowMs - progress.reportedAtMs;
+  progress.reportedAtMs = nowMs;
+  progress.reportedState = server.health.state;
+  context.ownership.observe({
+    service: server.definition.name,
+    serverId: server.server.serverId,
+    state: server.health.state,
+    completedCount: server.takeCompletedCount(),
+    queuedCount: server.queuedCount,
+    hotKeys: server.hotKeys.takeTop(reportedKeyCount, elapsedMs),
+  });
+}
--- /dev/null
+++ b/src/services/home/home_history.ts
@@ -0,0 +1,155 @@
+/**
+ * Remembers the last home and standby of each shard and hot key, so that a
+ * daemon that becomes home knows where the idempotency records are. A shard
+ * without an owner keeps its last home.
+ */
+import type {
+  AssignedServer,
+  DaemonId,
+  ServiceAssignment,
+} from "../../types/types.ts";
+import { tryFindServer } from "./assignment_rules.ts";
+
+/** Shards and keys that share a home and a standby. */
+export interface HomeSource {
+  readonly service: string;
+  readonly homeId: DaemonId;
+  readonly standbyId: DaemonId | undefined;
+  readonly shards: ReadonlySet<number>;
+  readonly keys: ReadonlySet<string>;
+}
+
+/** What an assignment changed for one daemon. */
+export interface HomeChange {
+  /** Former homes of what the daemon is home of now. */
+  readonly takenOver: readonly HomeSource[];
+  /** What the daemon stays home of, with a standby that is new. */
+  readonly newStandbys: readonly HomeSource[];
+}
+
+type HomePair = Pick<HomeSource, "homeId" | "standbyId">;
+
+interface ServiceHomes {
+  readonly shards: (HomePair | undefined)[];
+  readonly keys: Map<string, HomePair>;
+}
+
+/** Groups shards and keys by their home and standby. */
+class SourceGroups {
+  readonly #service: string;
+  readonly #groups = new Map<
+    string,
+    HomePair & { readonly shards: Set<number>; readonly keys: Set<string> }
+  >();
+
+  constructor(service: string) {
+    this.#service = service;
+  }
+
+  groupOf(pair: HomePair) {
+    const name = JSON.stringify([pair.homeId, pair.standbyId]);
+    const group = this.#groups.get(name) ??
+      { ...pair, shards: new Set<number>(), keys: new Set<string>() };
+    this.#groups.set(name, group);
+    return group;
+  }
+
+  list(): HomeSource[] {
+    return [...this.#groups.values()]
+      .map((group) => ({ service: this.#service, ...group }));
+  }
+}
+
+/** Facts about the daemon that learns an assignment. */
+export interface HomeHistoryOptions {
+  readonly self: DaemonId;
+  /** The shard of a key; undefined when it cannot be told now. */
+  shardOf(key: string): number | undefined;
+}
+
+/** The last home of every shard and hot key. */
+export class HomeHistory {
+  readonly #services = new Map<string, ServiceHomes>();
+
+  /** Learns an assignment; says what changed for `self`. */
+  noteAssignment(
+    assignment: ServiceAssignment,
+    options: HomeHistoryOptions,
+  ): HomeChange {
+    const { service } = assignment;
+    const homes = this.#services.get(service) ??
+      { shards: [], keys: new Map() };
+    this.#services.set(service, homes);
+    const change = new ChangeCollector(service, options.self);
+    noteKeys(homes, { assignment, options, change });
+    for (const [shard, index] of assignment.shardServers.entries()) {
+      const server = assignment.servers[index];
+      if (server === undefined) continue;
+      const present = pairOf(server);
+      change.compare(homes.shards[shard], present)?.shards.add(shard);
+      homes.shards[shard] = present;
+    }
+    return change.result();
+  }
+}
+
+/** Collects what changed for one daemon. */
+class ChangeCollector {
+  readonly #self: DaemonId;
+  readonly #takenOver: SourceGroups;
+  readonly #newStandbys: SourceGroups;
+
+  constructor(service: string, self: DaemonId) {
+    this.#self = self;
+    this.#takenOver = new SourceGroups(service);
+    this.#newStandbys = new SourceGroups(service);
+  }
+
+  /** The group that a change belongs to; undefined when nothing follows. */
+  compare(former: HomePair | undefined, present: HomePair) {
+    if (present.homeId !== this.#self) return undefined;
+    if (former === undefined) return undefined;
+    if (former.homeId !== this.#self) return this.#takenOver.groupOf(former);
+    return former.standbyId === present.standbyId
+      ? undefined
+      : this.#newStandbys.groupOf(present);
+  }
+
+  result(): HomeChange {
+    return {
+      takenOver: this.#takenOver.list(),
+      newStandbys: this.#newStandbys.list(),
+    };
+  }
+}
+
+/** Follows keys into their overrides and back to their shards. */
+function noteKeys(
+  homes: ServiceHomes,
+  { assignment, options, change }: {
+    readonly assignment: ServiceAssignment;
+    readonly options: HomeHistoryOptions;
+    readonly change: ChangeCollector;
+  },
+): void {
+  const overrides = new Map(
+    assignment.overrides.map(({ key, serverId }) => [key, serverId]),
+  );
+  for (const key of new Set([...homes.keys.keys(), ...overrides.keys()])) {
+    const shard = options.shardOf(key) ?? -1;
+    const serverId = overrides.get(key);
+    const server = serverId === undefined
+      ? assignment.servers[assignment.shardServers[shard] ?? -1]
+      : tryFindServer(assignment, serverId);
+    if (server === undefined) continue;
+    const former = homes.keys.get(key) ?? homes.shards[shard];
+    const present = pairOf(server);
+    change.compare(former, present)?.keys.add(key);
+    if (serverId === undefined) homes.keys.delete(key);
+    else homes.keys.set(key, present);
+  }
+}
+
+function pairOf(server: AssignedServer): HomePair {
+  return { homeId: server.homeDaemonId, standbyId: server.standbyDaemonId };
+}
--- /dev/null
+++ b/src/services/home/homed_server.ts
@@ -0,0 +1,141 @@
+/**
+ * Everything this home keeps for one backend server: its queue, the slots in
+ * use, its health, its grants and the rate of its keys.
+ */
+import { setMaxListeners } from "node:events";
+import { MessageCode } from "../../diagnostics/messages.ts";
+import { BackendServerState, RequestClass } from "../../types/enums.ts";
+import { RouterError } from "../../types/errors.ts";
+import type { AssignedServer, ServiceDefinition } from "../../types/types.ts";
+import { err } from "neverthrow";
+import { ClassQueue } from "./class_queue.ts";
+import { ConcurrencyLimit } from "./concurrency_limit.ts";
+import { HotKeyCounter } from "./hot_key_counter.ts";
+import type { QueuedRequest } from "./queued_request.ts";
+import type { ServerGrants } from "./server_grants.ts";
+import { ServerHealth } from "./server_health.ts";
+import { Wakeup } from "./wakeup.ts";
+
+/** Requests that may wait for one server. */
+const queueCapacity = 512;
+const hotKeyCounterCount = 64;
+/** Time after which a draining server receives nothing more. */
+const drainGraceMs = 1_500;
+
+/** One backend server homed here. */
+export class HomedServer {
+  readonly definition: ServiceDefinition;
+  readonly server: AssignedServer;
+  readonly grants: ServerGrants;
+  readonly limit: ConcurrencyLimit;
+  readonly health: ServerHealth;
+  readonly hotKeys = new HotKeyCounter(hotKeyCounterCount);
+  /** Ends the server's tasks when it is no longer homed here. */
+  readonly retired = new AbortController();
+  /** Wakes the health task. */
+  readonly healthWakeup = new Wakeup();
+  /** Wakes the grant task. */
+  readonly grantWakeup = new Wakeup();
+  readonly #work = new Wakeup();
+  readonly #queue = new ClassQueue<QueuedRequest>(queueCapacity);
+  #busyCount = 0;
+  #busyArchiveCount = 0;
+  #completedCount = 0;
+
+  constructor(
+    definition: ServiceDefinition,
+    server: AssignedServer,
+    grants: ServerGrants,
+  ) {
+    this.definition = definition;
+    this.server = server;
+    this.grants = grants;
+    // Every task and every request of the server listens to one signal.
+    setMaxListeners(0, this.retired.signal);
+    this.health = new ServerHealth(server.state);
+    this.limit = new ConcurrencyLimit(definition.slotsPerServer, {
+      isWarming: this.health.state === BackendServerState.Warming,
+    });
+  }
+
+  get queuedCount(): number {
+    return this.#queue.size;
+  }
+
+  get busyCount(): number {
+    return this.#busyCount;
+  }
+
+  /** Why the server takes no new work; undefined when it does. */
+  tryGetClosedReason(nowMs: number): string | undefined {
+    const { state, drainingSinceMs } = this.health;
+    if (state === BackendServerState.Lost) return "lost";
+    if (drainingSinceMs === undefined) return undefined;
+    return nowMs - drainingSinceMs >= drainGraceMs ? "draining" : undefined;
+  }
+
+  /** Queues a request; sheds the one that would be served last when full. */
+  enqueue(entry: QueuedRequest): void {
+    const shed = this.#queue.push(entry);
+    shed?.settle(err(
+      new RouterError(MessageCode.Overloaded, "queue", {
+        peer: this.server.serverId,
+        detail: `the queue of ${this.server.serverId} is full`,
+      }),
+    ));
+    this.#work.notify();
+  }
+
+  /** Removes the queued requests that match. */
+  removeQueued(matches: (entry: QueuedRequest) => boolean): QueuedRequest[] {
+    return this.#queue.removeWhere(matches);
+  }
+
+  /** Waits for a request and a free slot; undefined when `signal` aborts. */
+  async takeNext(signal: AbortSignal): Promise<QueuedRequest | undefined> {
+    while (!signal.aborted) {
+      const entry = this.#tryTake();
+      if (entry !== undefined) return entry;
+      await this.#work.wait(signal);
+    }
+    return undefined;
+  }
+
+  /** Frees the slot of a request that `takeNext` returned. */
+  finish(entry: QueuedRequest): void {
+    this.#busyCount -= 1;
+    if (isArchive(entry)) this.#busyArchiveCount -= 1;
+    if (this.#busyCount === 0) this.health.noteIdle();
+    this.#work.notify();
+  }
+
+  /** Counts a completed request. */
+  noteCompleted(): void {
+    this.#completedCount += 1;
+  }
+
+  /** Returns the completed requests since the last call. */
+  takeCompletedCount(): number {
+    const count = this.#completedCount;
+    this.#completedCount = 0;
+    return count;
+  }
+
+  /** Archive requests leave one slot free whenever there is more than one. */
+  #tryTake(): QueuedRequest | undefined {
+    const slotCount = this.limit.current;
+    if (this.#busyCount >= slotCount) return undefined;
+    const archiveSlotCount = Math.max(1, slotCount - 1);
+    const entry = this.#queue.tryTake({
+      isArchiveAllowed: this.#busyArchiveCount < archiveSlotCount,
+    });
+    if (entry === undefined) return undefined;
+    this.#busyCount += 1;
+    if (isArchive(entry)) this.#busyArchiveCount += 1;
+    return entry;
+  }
+}
+
+function isArchive(entry: QueuedRequest): boolean {
+  return entry.request.requestClass === RequestClass.Archive;
+}
--- /dev/null
+++ b/src/services/home/in_flight.ts
@@ -0,0 +1,107 @@
+/**
+ * The attempts that this home has sent and that are not finished. Tells the
+ * ownership service when nothing that an assignment forbids is left.
+ */
+import type { Clock } from "../../host/clock.ts";
+import { AbortCause, type DeadlineSignal } from "../../host/deadline_signal.ts";
+import type {
+  DaemonId,
+  KeyLocation,
+  ServiceAssignment,
+} from "../../types/types.ts";
+import { InFlightSource } from "../ownership/ownership.ts";
+import { isAllowed } from "./assignment_rules.ts";
+
+/** One attempt from the send to the end of its answer. */
+export interface InFlightAttempt {
+  readonly location: KeyLocation;
+  readonly key: string;
+  /** Local instant after which the backend server does not start it. */
+  readonly startBeforeAtMs: number;
+  readonly isIdempotent: boolean;
+  readonly abort: DeadlineSignal;
+  /** Whether the head of the answer arrived, so that the work is done. */
+  hasAnswer: boolean;
+}
+
+/** All attempts in flight from one daemon. */
+export class InFlightTable extends InFlightSource {
+  readonly #clock: Clock;
+  readonly #getDaemonId: () => DaemonId;
+  readonly #attempts = new Set<InFlightAttempt>();
+  readonly #newest = new Map<string, ServiceAssignment>();
+
+  constructor(clock: Clock, getDaemonId: () => DaemonId) {
+    super();
+    this.#clock = clock;
+    this.#getDaemonId = getDaemonId;
+  }
+
+  get size(): number {
+    return this.#attempts.size;
+  }
+
+  /** Adds an attempt that is about to be sent. */
+  add(attempt: InFlightAttempt): void {
+    this.#attempts.add(attempt);
+  }
+
+  /** Removes a finished attempt. */
+  remove(attempt: InFlightAttempt): void {
+    this.#attempts.delete(attempt);
+  }
+
+  /** Whether the newest assignment seen here allows a send to `location`. */
+  isAllowed(location: KeyLocation, key: string): boolean {
+    const newest = this.#newest.get(location.service);
+    return newest === undefined || this.#allows(newest, { location, key });
+  }
+
+  /**
+   * Learns an assignment. An attempt that it forbids may finish; without an
+   * answer at its start-before instant it is given up as unknown.
+   */
+  noteAssignment(assignment: ServiceAssignment): void {
+    const known = this.#newest.get(assignment.service);
+    if (known !== undefined && known.version >= assignment.version) return;
+    this.#newest.set(assignment.service, assignment);
+    for (const attempt of this.#forbidden(assignment)) {
+      const remainingMs = attempt.startBeforeAtMs - this.#clock.nowMs();
+      this.#clock.after(remainingMs, () => {
+        if (!attempt.hasAnswer) attempt.abort.abort(AbortCause.Moved);
+      });
+    }
+  }
+
+  /** Gives up the idempotent attempts on a lost server, to run elsewhere. */
+  abandonIdempotent(serverId: string): void {
+    for (const attempt of [...this.#attempts]) {
+      if (attempt.location.server.serverId !== serverId) continue;
+      if (!attempt.isIdempotent || attempt.hasAnswer) continue;
+      attempt.abort.abort(AbortCause.Moved);
+    }
+  }
+
+  override isReleased(assignment: ServiceAssignment): boolean {
+    this.noteAssignment(assignment);
+    const nowMs = this.#clock.nowMs();
+    return this.#forbidden(assignment).every((attempt) =>
+      attempt.hasAnswer && nowMs >= attempt.startBeforeAtMs
+    );
+  }
+
+  #forbidden(assignment: ServiceAssignment): InFlightAttempt[] {
+    return [...this.#attempts].filter((attempt) =>
+      attempt.location.service === assignment.service &&
+      !this.#allows(assignment, attempt)
+    );
+  }
+
+  #allows(
+    assignment: ServiceAssignment,
+    target: { readonly location: KeyLocation; readonly key: string },
+  ): boolean {
+    const daemonId = this.#getDaemonId();
+    return isAllowed(assignment, { ...target, daemonId });
+  }
+}
--- /dev/null
+++ b/src/services/home/note_attempt_error.ts
@@ -0,0 +1,87 @@
+/** Draws conclusions about a backend server from a failed attempt. */
+import { AbortCause } from "../../host/deadline_signal.ts";
+import { AttemptOutcome, RefusalReason } from "../../types/enums.ts";
+import { assertNever, type RouterError } from "../../types/errors.ts";
+import type { KeyLocation } from "../../types/types.ts";
+import { CounterName } from "../metrics/metrics.ts";
+import type { SlotScope } from "./slot_task.ts";
+
+/** A request given up sooner than this says nothing about its server. */
+const silenceEvidenceMs = 250;
+/** The entry's deadline cancels a request this much before the home's. */
+const deadlineSlackMs = 50;
+
+/** A failed attempt. */
+export interface AttemptFailure {
+  readonly error: RouterError;
+  /** Why the attempt was given up; undefined when it failed by itself. */
+  readonly abortCause: AbortCause | undefined;
+  readonly sentAtMs: number;
+  readonly location: KeyLocation;
+  readonly deadlineAtMs: number;
+}
+
+/** Feeds the failure to the server's health, limit and grants. */
+export function noteAttemptError(
+  scope: SlotScope,
+  failure: AttemptFailure,
+): void {
+  const { server, context } = scope;
+  const { outcome } = failure.error;
+  switch (outcome) {
+    case AttemptOutcome.NotSent:
+      server.health.noteFailure(context.clock.nowMs());
+      server.healthWakeup.notify();
+      return;
+    case AttemptOutcome.RefusedUnrun:
+      context.metrics.count(CounterName.AttemptsRefusedUnrun);
+      noteRefusal(scope, failure);
+      return;
+    case AttemptOutcome.Unknown:
+      context.metrics.count(CounterName.AttemptsUnknown);
+      noteUnknown(scope, failure);
+      return;
+    case AttemptOutcome.Answered:
+      return;
+    default:
+      assertNever(outcome);
+  }
+}
+
+function noteRefusal(
+  { server, context }: SlotScope,
+  { error, location }: AttemptFailure,
+): void {
+  const nowMs = context.clock.nowMs();
+  server.health.noteAnswer(nowMs, { isIdle: server.busyCount <= 1 });
+  switch (error.detail) {
+    case RefusalReason.Shedding:
+      server.limit.noteOverload(nowMs);
+      return;
+    case RefusalReason.Draining:
+      server.health.noteDraining(nowMs);
+      server.healthWakeup.notify();
+      return;
+    case RefusalReason.Fence:
+      server.grants.invalidate(location.fence);
+      server.grantWakeup.notify();
+      return;
+    default:
+      return;
+  }
+}
+
+function noteUnknown(
+  { server, context }: SlotScope,
+  { abortCause, sentAtMs, deadlineAtMs }: AttemptFailure,
+): void {
+  const nowMs = context.clock.nowMs();
+  const isDeadline = abortCause === AbortCause.Deadline ||
+    (abortCause === AbortCause.Cancelled &&
+      nowMs >= deadlineAtMs - deadlineSlackMs);
+  const isSilence = isDeadline && nowMs - sentAtMs >= silenceEvidenceMs;
+  if (abortCause !== undefined && !isSilence) return;
+  server.health.noteFailure(nowMs);
+  server.limit.noteOverload(nowMs);
+  server.healthWakeup.notify();
+}
--- /dev/null
+++ b/src/services/home/queued_request.ts
@@ -0,0 +1,49 @@
+/** A request that waits for a slot of its backend server. */
+import type { Result } from "neverthrow";
+import type { DeadlineSignal } from "../../host/deadline_signal.ts";
+import type { RouterError } from "../../types/errors.ts";
+import type {
+  KeyLocation,
+  RoutedRequest,
+  RoutedResponse,
+} from "../../types/types.ts";
+
+/** The result of one dispatch. */
+export type DispatchResult = Result<RoutedResponse, RouterError>;
+
+/** What a dispatch puts into a server's queue. */
+export interface QueuedRequestParts {
+  readonly request: RoutedRequest;
+  /** The owner when the request was queued; checked again before the send. */
+  readonly location: KeyLocation;
+  readonly abort: DeadlineSignal;
+  /** Names the attempt in idempotency records; undefined when it has none. */
+  readonly attemptId: string | undefined;
+  /** Local instant at which the request joined the queue. */
+  readonly queuedAtMs: number;
+}
+
+/** A queued request and the promise of its result. */
+export class QueuedRequest {
+  readonly request: RoutedRequest;
+  readonly location: KeyLocation;
+  readonly abort: DeadlineSignal;
+  readonly attemptId: string | undefined;
+  readonly queuedAtMs: number;
+  readonly result: Promise<DispatchResult>;
+  #resolve: (result: DispatchResult) => void = () => {};
+
+  constructor(parts: QueuedRequestParts) {
+    this.request = parts.request;
+    this.location = parts.location;
+    this.abort = parts.abort;
+    this.attemptId = parts.attemptId;
+    this.queuedAtMs = parts.queuedAtMs;
+    this.result = new Promise((resolve) => this.#resolve = resolve);
+  }
+
+  /** Gives the dispatch its result; later calls have no effect. */
+  settle(result: DispatchResult): void {
+    this.#resolve(result);
+  }
+}
--- /dev/null
+++ b/src/services/home/server_grants.ts
@@ -0,0 +1,188 @@
+/**
+ * The grants that one backend server holds from this home. A grant never
+ * outlasts the home's permit, and counts here from before it was sent.
+ */
+import type { Clock } from "../../host/clock.ts";
+import type {
+  BackendGrant,
+  BackendTransport,
+} from "../../host/backend_transport.ts";
+import { DeadlineSignal } from "../../host/deadline_signal.ts";
+import type {
+  AssignedServer,
+  KeyLocation,
+  ServiceAssignment,
+} from "../../types/types.ts";
+import { Wakeup } from "./wakeup.ts";
+
+const grantDurationMs = 1_500;
+const grantTimeoutMs = 400;
+/** A grant is renewed when less than this is left of it. */
+const renewBeforeMs = 900;
+
+/** The shards and keys that share one fence. */
+interface FenceGroup {
+  readonly fence: number;
+  readonly shards: number[];
+  readonly keys: string[];
+}
+
+interface HeldGrant {
+  readonly group: FenceGroup;
+  readonly shards: ReadonlySet<number>;
+  readonly keys: ReadonlySet<string>;
+  readonly expiresAtMs: number;
+}
+
+/** What the grants of one server need. */
+export interface ServerGrantsOptions {
+  readonly clock: Clock;
+  readonly transport: BackendTransport;
+  readonly service: string;
+  readonly server: AssignedServer;
+}
+
+/** Gives, renews and withdraws grants. */
+export class ServerGrants {
+  readonly #options: ServerGrantsOptions;
+  readonly #held = new Map<number, HeldGrant>();
+  readonly #changed = new Wakeup();
+
+  constructor(options: ServerGrantsOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the server holds a grant in force for the location. */
+  isGranted(location: KeyLocation, key: string): boolean {
+    const held = this.#held.get(location.fence);
+    if (held === undefined) return false;
+    if (this.#options.clock.nowMs() >= held.expiresAtMs) return false;
+    return held.shards.has(location.shard) || held.keys.has(key);
+  }
+
+  /** Forgets a fence that the server refused, so that it is given anew. */
+  invalidate(fence: number): void {
+    this.#held.delete(fence);
+  }
+
+  /** Forgets every grant, after the server may have restarted. */
+  invalidateAll(): void {
+    this.#held.clear();
+  }
+
+  /** Waits for the next grant, or until `signal` aborts. */
+  waitForChange(signal: AbortSignal): Promise<void> {
+    return this.#changed.wait(signal);
+  }
+
+  /**
+   * Makes the server's grants those of the assignment: withdraws what it no
+   * longer owns, then gives what is new or soon to expire.
+   */
+  async maintain(
+    assignment: ServiceAssignment,
+    permitExpiresAtMs: number,
+  ): Promise<void> {
+    const wanted = groupByFence(assignment, this.#options.server.serverId);
+    for (const [fence, { group }] of [...this.#held]) {
+      const kept = wanted.get(fence);
+      const gone = subtract(group, kept);
+      if (gone === undefined) continue;
+      this.#held.delete(fence);
+      await this.#revoke(gone);
+    }
+    for (const group of wanted.values()) {
+      if (this.#needsGrant(group)) await this.#grant(group, permitExpiresAtMs);
+    }
+  }
+
+  /** Withdraws everything, after the server left this home. */
+  async revokeAll(): Promise<void> {
+    const held = [...this.#held.values()];
+    this.#held.clear();
+    for (const { group } of held) await this.#revoke(group);
+  }
+
+  #needsGrant(group: FenceGroup): boolean {
+    const held = this.#held.get(group.fence);
+    if (held === undefined) return true;
+    if (subtract(group, held.group) !== undefined) return true;
+    return held.expiresAtMs - this.#options.clock.nowMs() < renewBeforeMs;
+  }
+
+  async #grant(group: FenceGroup, permitExpiresAtMs: number): Promise<void> {
+    const { clock, transport, server } = this.#options;
+    const nowMs = clock.nowMs();
+    const durationMs = Math.min(grantDurationMs, permitExpiresAtMs - nowMs);
+    if (durationMs <= 0) return;
+    const timeout = new DeadlineSignal(clock, { atMs: nowMs + grantTimeoutMs });
+    const result = await transport.grant(
+      server,
+      this.#createGrant(group, durationMs),
+      timeout.signal,
+    );
+    timeout.dispose();
+    if (result.isErr()) return;
+    this.#held.set(group.fence, {
+      group,
+      shards: new Set(group.shards),
+      keys: new Set(group.keys),
+      expiresAtMs: nowMs + durationMs,
+    });
+    this.#changed.notify();
+  }
+
+  async #revoke(group: FenceGroup): Promise<void> {
+    const { clock, transport, server } = this.#options;
+    const timeout = new DeadlineSignal(clock, {
+      atMs: clock.nowMs() + grantTimeoutMs,
+    });
+    await transport.revoke(server, this.#createGrant(group, 0), timeout.signal);
+    timeout.dispose();
+  }
+
+  #createGrant(group: FenceGroup, durationMs: number): BackendGrant {
+    return {
+      service: this.#options.service,
+      shards: group.shards,
+      keys: group.keys,
+      fence: group.fence,
+      grantDurationMs: Math.floor(durationMs),
+    };
+  }
+}
+
+/** The shards and keys of one server, those of equal fence together. */
+function groupByFence(
+  assignment: ServiceAssignment,
+  serverId: string,
+): Map<number, FenceGroup> {
+  const groups = new Map<number, FenceGroup>();
+  function groupOf(fence: number): FenceGroup {
+    const group = groups.get(fence) ?? { fence, shards: [], keys: [] };
+    groups.set(fence, group);
+    return group;
+  }
+  for (const [shard, index] of assignment.shardServers.entries()) {
+    if (assignment.servers[index]?.serverId !== serverId) continue;
+    groupOf(assignment.shardFences[shard] ?? 0).shards.push(shard);
+  }
+  for (const override of assignment.overrides) {
+    if (override.serverId !== serverId) continue;
+    groupOf(override.fence).keys.push(override.key);
+  }
+  return groups;
+}
+
+/** What is in `group` and not in `other`; undefined when nothing is. */
+function subtract(
+  group: FenceGroup,
+  other: FenceGroup | undefined,
+): FenceGroup | undefined {
+  const otherShards = new Set(other?.shards);
+  const otherKeys = new Set(other?.keys);
+  const shards = group.shards.filter((shard) => !otherShards.has(shard));
+  const keys = group.keys.filter((key) => !otherKeys.has(key));
+  if (shards.length === 0 && keys.length === 0) return undefined;
+  return { fence: group.fence, shards, keys };
+}
--- /dev/null
+++ b/src/services/home/server_health_test.ts
@@ -0,0 +1,88 @@
+import * as assert from "uvu/assert";
+import type { BackendReport } from "../../host/backend_transport.ts";
+import { describe, it } from "../../testing/describe.ts";
+import { BackendServerState } from "../../types/enums.ts";
+import { ServerHealth } from "./server_health.ts";
+
+const healthy: BackendReport = {
+  isHealthy: true,
+  isDraining: false,
+  isWarm: true,
+  busySlots: 0,
+};
+const busy = { isIdle: false };
+
+describe("ServerHealth", () => {
+  describe("misleading probes", () => {
+    it("keeps a server that answers requests while its probes fail", () => {
+      const health = new ServerHealth(BackendServerState.Live);
+      for (let atMs = 0; atMs < 5_000; atMs += 100) {
+        health.noteSent(atMs);
+        health.noteAnswer(atMs + 10, busy);
+        health.noteProbeFailure(atMs + 50);
+      }
+      assert.is(health.state, BackendServerState.Live);
+    });
+
+    it("loses a server that answers nothing though its probes succeed", () => {
+      const health = new ServerHealth(BackendServerState.Live);
+      health.noteAnswer(0, busy);
+      for (const atMs of [300, 600, 1_000]) {
+        health.noteReport(healthy, atMs);
+        health.noteFailure(atMs);
+      }
+      assert.is(health.state, BackendServerState.Lost);
+      health.noteReport(healthy, 1_100);
+      assert.is(health.state, BackendServerState.Lost);
+    });
+  });
+
+  describe("loss", () => {
+    it("needs one refused connection and one failed probe", () => {
+      const health = new ServerHealth(BackendServerState.Live);
+      health.noteAnswer(100, busy);
+      health.noteFailure(110);
+      assert.ok(health.isSuspect(110));
+      health.noteProbeFailure(112);
+      assert.is(health.state, BackendServerState.Lost);
+    });
+
+    it("needs silence and a failed probe when connections stay open", () => {
+      const health = new ServerHealth(BackendServerState.Live);
+      health.noteAnswer(0, { isIdle: true });
+      health.noteSent(100);
+      assert.not(health.isSuspect(300));
+      assert.ok(health.isSuspect(360));
+      health.noteProbeFailure(600);
+      assert.is(health.state, BackendServerState.Lost);
+    });
+
+    it("needs two failed probes when the server is idle", () => {
+      const health = new ServerHealth(BackendServerState.Live);
+      health.noteProbeFailure(2_000);
+      assert.is(health.state, BackendServerState.Live);
+      health.noteProbeFailure(2_100);
+      assert.is(health.state, BackendServerState.Lost);
+    });
+
+    it("ends with a healthy report after the hold-off, as warming", () => {
+      const health = new ServerHealth(BackendServerState.Live);
+      health.noteFailure(0);
+      health.noteProbeFailure(1);
+      health.noteReport(healthy, 100);
+      assert.is(health.state, BackendServerState.Lost);
+      health.noteReport(healthy, 600);
+      assert.is(health.state, BackendServerState.Warming);
+    });
+  });
+
+  describe("draining", () => {
+    it("is remembered from the first sign", () => {
+      const health = new ServerHealth(BackendServerState.Live);
+      health.noteReport({ ...healthy, isDraining: true }, 500);
+      health.noteDraining(900);
+      assert.is(health.state, BackendServerState.Draining);
+      assert.is(health.drainingSinceMs, 500);
+    });
+  });
+});
--- a/src/services/home/slot_home.ts
+++ b/src/services/home/slot_home.ts
@@ -1,151 +1,329 @@
 /**
  * Dispatches requests to the backend servers homed here. Each server has one
- * task for each slot; a task takes the next request, runs it, and waits until
- * its answer has been consumed.
+ * task for its grants, one for its health and one for each slot; they start
+ * when an assignment makes this daemon the server's home and end with it.
  */
-import { err, type Result } from "neverthrow";
+import { err } from "neverthrow";
 import { MessageCode } from "../../diagnostics/messages.ts";
+import { DeadlineSignal } from "../../host/deadline_signal.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
-import { BackendServerState, FencingMode } from "../../types/enums.ts";
+import { subscribe } from "../../streams/subscribe.ts";
+import { AttemptOutcome } from "../../types/enums.ts";
 import { RouterError } from "../../types/errors.ts";
 import type {
   AssignedServer,
   KeyLocation,
   RoutedRequest,
-  RoutedResponse,
+  ServerId,
   ServiceAssignment,
 } from "../../types/types.ts";
+import { CounterName } from "../metrics/metrics.ts";
+import { createClosedError } from "./close_server.ts";
 import { Home, type HomedServerStatus } from "./home.ts";
+import type { HomeContext } from "./home_context.ts";
+import { HomedServer } from "./homed_server.ts";
+import { runHomedServer } from "./homed_server_task.ts";
+import { IdempotencyGuard } from "./idempotency_guard.ts";
+import { IdempotencyRecords } from "./idempotency_records.ts";
+import { InFlightTable } from "./in_flight.ts";
+import { type DispatchResult, QueuedRequest } from "./queued_request.ts";
+import { addRecordService } from "./record_service.ts";
+import { RecordTransfer } from "./record_transfer.ts";
+import { ServerGrants } from "./server_grants.ts";
+import { createAbortError } from "./slot_task.ts";
+import { StandbyRecorder } from "./standby_recorder.ts";
 
-const grantRenewalIntervalMs = 300;
-const grantDurationMs = 1_500;
+/** How long a draining daemon waits for others to take its servers over. */
+const handOverLimitMs = 3_000;
+/** How long it then still answers requests for idempotency records. */
+const lingerMs = 500;
+const drainCheckIntervalMs = 20;
 
-/** Dispatches without a queue, as long as the permit is in force. */
+/** What `start` creates. */
+interface RunningHome extends HomeContext {
+  readonly guard: IdempotencyGuard;
+  readonly transfer: RecordTransfer;
+  readonly services: ServiceLookup;
+}
+
+/** Queues and dispatches, as long as the permit is in force. */
 export class SlotHome extends Home {
-  readonly #stopping = new AbortController();
-  #services: ServiceLookup | undefined;
-  #granter: Promise<void> = Promise.resolve();
+  readonly #servers = new Map<ServerId, HomedServer>();
+  readonly #serverTasks = new Set<Promise<void>>();
+  #running: RunningHome | undefined;
+  #unsubscribe: () => void = () => {};
+  #dispatchCount = 0;
+  #isClosed = false;
 
   override get needs(): readonly ServiceName[] {
     return [
       ServiceName.Clock,
+      ServiceName.Random,
+      ServiceName.Log,
+      ServiceName.Metrics,
+      ServiceName.Membership,
       ServiceName.Ownership,
+      ServiceName.PeerServer,
+      ServiceName.PeerTransport,
       ServiceName.BackendTransport,
     ];
   }
 
   override start(services: ServiceLookup): Promise<void> {
-    this.#services = services;
-    this.#granter = this.#renewGrants(services);
+    const running = createRunningHome(services);
+    this.#running = running;
+    const { ownership } = running;
+    ownership.setInFlightSource(running.inFlight);
+    this.#unsubscribe = subscribe(
+      ownership.changes,
+      (assignment) => this.#noteAssignment(assignment),
+    );
+    for (const definition of ownership.definitions()) {
+      const assignment = ownership.tryGetAssignment(definition.name);
+      if (assignment !== undefined) this.#noteAssignment(assignment);
+    }
     return Promise.resolve();
   }
 
-  override stop(): Promise<void> {
-    this.#stopping.abort();
-    return this.#granter;
+  /** Hands the servers over, then finishes everything in progress. */
+  override async drain(): Promise<void> {
+    const { clock, services } = this.#running!;
+    const membership = services.get(ServiceName.Membership);
+    membership.beginDraining();
+    const startedAtMs = clock.nowMs();
+    while (clock.nowMs() - startedAtMs < handOverLimitMs) {
+      const isLast = membership.daemons().every((daemon) => daemon.isDraining);
+      if (this.#servers.size === 0 || isLast) break;
+      await clock.sleep(drainCheckIntervalMs);
+    }
+    if (clock.nowMs() > startedAtMs) await clock.sleep(lingerMs);
+    this.#isClosed = true;
+    while (this.#dispatchCount > 0 || this.#running!.inFlight.size > 0) {
+      await clock.sleep(drainCheckIntervalMs);
+    }
+  }
+
+  override async stop(): Promise<void> {
+    this.#isClosed = true;
+    this.#unsubscribe();
+    for (const server of [...this.#servers.values()]) this.#retire(server);
+    await this.#running?.transfer.stop();
+    await this.#running?.standbys.stop();
+    await Promise.all(this.#serverTasks);
   }
 
   override async dispatch(
     request: RoutedRequest,
     options: { readonly signal: AbortSignal },
-  ): Promise<Result<RoutedResponse, RouterError>> {
-    const services = this.#services!;
-    const ownership = services.get(ServiceName.Ownership);
+  ): Promise<DispatchResult> {
+    if (this.#isClosed || this.#running === undefined) {
+      return err(createNotHome(request.service));
+    }
+    this.#dispatchCount += 1;
+    try {
+      return await this.#dispatch(request, options.signal);
+    } finally {
+      this.#dispatchCount -= 1;
+    }
+  }
+
+  override status(): readonly HomedServerStatus[] {
+    const { clock, ownership } = this.#running!;
+    const nowMs = clock.nowMs();
+    return [...this.#servers.values()].map((homed) => {
+      const { serverId } = homed.server;
+      const expiresAtMs = ownership.tryGetPermit(serverId)?.expiresAtMs;
+      return {
+        service: homed.definition.name,
+        serverId,
+        state: homed.health.state,
+        queuedCount: homed.queuedCount,
+        inFlightCount: homed.busyCount,
+        slotLimit: homed.limit.current,
+        permitRemainingMs: Math.max(0, (expiresAtMs ?? nowMs) - nowMs),
+      };
+    });
+  }
+
+  async #dispatch(
+    request: RoutedRequest,
+    signal: AbortSignal,
+  ): Promise<DispatchResult> {
+    const { ownership, guard } = this.#running!;
     const located = ownership.locate(request.service, request.key);
     if (located.isErr()) return err(located.error);
     const location = located.value;
-    const permit = ownership.tryGetPermit(location.server.serverId);
-    if (permit === undefined) {
+    const homed = this.#servers.get(location.server.serverId);
+    if (homed === undefined) {
+      return err(createNotHome(location.server.serverId));
+    }
+    return await guard.run({
+      request,
+      location,
+      signal,
+      send: (attemptId) =>
+        this.#enqueue(homed, { request, location, signal, attemptId }),
+    });
+  }
+
+  /** Queues one attempt and waits for its result. */
+  async #enqueue(
+    homed: HomedServer,
+    { request, location, signal, attemptId }: {
+      readonly request: RoutedRequest;
+      readonly location: KeyLocation;
+      readonly signal: AbortSignal;
+      readonly attemptId: string | undefined;
+    },
+  ): Promise<DispatchResult> {
+    const { clock, metrics } = this.#running!;
+    const queuedAtMs = clock.nowMs();
+    const closedReason = homed.tryGetClosedReason(queuedAtMs);
+    if (homed.retired.signal.aborted || closedReason !== undefined) {
+      const { serverId } = homed.server;
       return err(
-        new RouterError(MessageCode.NotHome, "dispatch", {
-          detail: location.server.serverId,
-        }),
+        createClosedError(serverId, closedReason ?? "homed elsewhere"),
       );
     }
-    const clock = services.get(ServiceName.Clock);
-    const remainingMs = permit.expiresAtMs - clock.nowMs();
-    const result = await services.get(ServiceName.BackendTransport).send(
+    // An attempt with a record goes on when its caller leaves, so that the
+    // repeat finds an answer.
+    const abort = new DeadlineSignal(clock, {
+      atMs: request.deadlineAtMs,
+      ...(attemptId === undefined ? { parent: signal } : {}),
+    });
+    const entry = new QueuedRequest({
       request,
       location,
-      {
-        signal: options.signal,
-        startBeforeWallMs: Math.floor(clock.wallTimeMs() + remainingMs),
-      },
-    );
-    this.#observe(location, result);
+      abort,
+      attemptId,
+      queuedAtMs,
+    });
+    homed.hotKeys.add(request.key);
+    homed.enqueue(entry);
+    abort.aborted.then(() => this.#dropQueued(homed, entry));
+    const result = await entry.result;
+    if (result.isErr()) abort.dispose();
+    if (result.isErr() && result.error.code === MessageCode.Overloaded) {
+      metrics.count(CounterName.RequestsShed, request.requestClass);
+    }
     return result;
   }
 
-  override status(): readonly HomedServerStatus[] {
-    return [];
+  /** Ends the wait of a request whose deadline passed or caller left. */
+  #dropQueued(homed: HomedServer, entry: QueuedRequest): void {
+    const dropped = homed.removeQueued((other) => other === entry);
+    if (dropped.length === 0) return;
+    this.#running!.metrics.count(
+      CounterName.RequestsExpired,
+      entry.request.requestClass,
+    );
+    entry.settle(err(createAbortError(entry, AttemptOutcome.NotSent)));
   }
 
-  #observe(
-    location: KeyLocation,
-    result: Result<RoutedResponse, RouterError>,
-  ): void {
-    if (result.isOk()) return;
-    if (result.error.code !== MessageCode.BackendUnreachable) return;
-    this.#services!.get(ServiceName.Ownership).observe({
-      service: location.service,
-      serverId: location.server.serverId,
-      state: BackendServerState.Lost,
-      completedCount: 0,
-      queuedCount: 0,
-      hotKeys: [],
-    });
+  /** Starts and ends servers, and returns what may no longer be sent. */
+  #noteAssignment(assignment: ServiceAssignment): void {
+    const { inFlight, services, transfer } = this.#running!;
+    const { daemonId } = services.get(ServiceName.Membership).self();
+    inFlight.noteAssignment(assignment);
+    transfer.noteAssignment(assignment);
+    const homedHere = new Map(
+      assignment.servers
+        .filter((server) => server.homeDaemonId === daemonId)
+        .map((server) => [server.serverId, server]),
+    );
+    for (const homed of [...this.#servers.values()]) {
+      if (homed.definition.name !== assignment.service) continue;
+      const present = homedHere.get(homed.server.serverId);
+      if (present?.address !== homed.server.address) this.#retire(homed);
+      else this.#returnForbidden(homed);
+    }
+    for (const server of homedHere.values()) this.#adopt(assignment, server);
   }
 
-  /** Renews the grants of the servers homed here until the service stops. */
-  async #renewGrants(services: ServiceLookup): Promise<void> {
-    const clock = services.get(ServiceName.Clock);
-    const ownership = services.get(ServiceName.Ownership);
-    while (!this.#stopping.signal.aborted) {
-      for (const definition of ownership.definitions()) {
-        if (definition.fencingMode !== FencingMode.Checked) continue;
-        const assignment = ownership.tryGetAssignment(definition.name);
-        if (assignment !== undefined) await this.#grantAll(assignment);
-      }
-      await clock.sleep(grantRenewalIntervalMs, this.#stopping.signal);
+  #adopt(assignment: ServiceAssignment, server: AssignedServer): void {
+    const context = this.#running!;
+    const homed = this.#servers.get(server.serverId);
+    if (homed !== undefined) {
+      homed.grantWakeup.notify();
+      return;
     }
+    const definition = context.ownership.tryGetDefinition(assignment.service);
+    if (definition === undefined || this.#isClosed) return;
+    const grants = new ServerGrants({
+      clock: context.clock,
+      transport: context.transport,
+      service: assignment.service,
+      server,
+    });
+    const adopted = new HomedServer(definition, server, grants);
+    this.#servers.set(server.serverId, adopted);
+    const task = runHomedServer({ server: adopted, context })
+      .finally(() => this.#serverTasks.delete(task));
+    this.#serverTasks.add(task);
   }
 
-  async #grantAll(assignment: ServiceAssignment): Promise<void> {
-    const ownership = this.#services!.get(ServiceName.Ownership);
-    for (const [index, server] of assignment.servers.entries()) {
-      if (ownership.tryGetPermit(server.serverId) === undefined) continue;
-      await this.#grantOne(assignment, { index, server });
+  /** Ends a server's tasks; what it runs finishes, what waits is returned. */
+  #retire(homed: HomedServer): void {
+    this.#servers.delete(homed.server.serverId);
+    homed.retired.abort();
+    for (const entry of homed.removeQueued(() => true)) {
+      entry.settle(err(createNotHome(homed.server.serverId)));
     }
   }
 
-  /** Grants the shards of one server, those of equal fence together. */
-  async #grantOne(
-    assignment: ServiceAssignment,
-    { index, server }: {
-      readonly index: number;
-      readonly server: AssignedServer;
-    },
-  ): Promise<void> {
-    const shardsByFence = new Map<number, number[]>();
-    for (const [shard, owner] of assignment.shardServers.entries()) {
-      if (owner !== index) continue;
-      const fence = assignment.shardFences[shard] ?? 0;
-      const shards = shardsByFence.get(fence) ?? [];
-      shardsByFence.set(fence, [...shards, shard]);
-    }
-    for (const [fence, shards] of shardsByFence) {
-      await this.#services!.get(ServiceName.BackendTransport).grant(
-        server,
-        {
-          service: assignment.service,
-          shards,
-          keys: [],
-          fence,
-          grantDurationMs,
-        },
-        AbortSignal.timeout(grantDurationMs),
-      );
+  #returnForbidden(homed: HomedServer): void {
+    const { inFlight } = this.#running!;
+    const forbidden = homed.removeQueued(({ location, request }) =>
+      !inFlight.isAllowed(location, request.key)
+    );
+    for (const entry of forbidden) {
+      entry.settle(err(
+        new RouterError(MessageCode.KeyInMotion, "queue", {
+          peer: homed.server.serverId,
+        }),
+      ));
     }
   }
 }
+
+function createRunningHome(services: ServiceLookup): RunningHome {
+  const clock = services.get(ServiceName.Clock);
+  const membership = services.get(ServiceName.Membership);
+  const metrics = services.get(ServiceName.Metrics);
+  const ownership = services.get(ServiceName.Ownership);
+  const peers = services.get(ServiceName.PeerTransport);
+  const random = services.get(ServiceName.Random);
+  const records = new IdempotencyRecords(clock);
+  const recordOptions = { clock, membership, metrics, peers, records };
+  const standbys = new StandbyRecorder(recordOptions);
+  const transfer = new RecordTransfer({
+    ...recordOptions,
+    ownership,
+    standbys,
+  });
+  addRecordService(services.get(ServiceName.PeerServer), { records, clock });
+  return {
+    clock,
+    log: services.get(ServiceName.Log),
+    metrics,
+    ownership,
+    transport: services.get(ServiceName.BackendTransport),
+    inFlight: new InFlightTable(clock, () => membership.self().daemonId),
+    standbys,
+    transfer,
+    guard: new IdempotencyGuard({
+      clock,
+      random,
+      metrics,
+      records,
+      standbys,
+      transfer,
+    }),
+    services,
+  };
+}
+
+function createNotHome(detail: string): RouterError {
+  return new RouterError(MessageCode.NotHome, "dispatch", { detail });
+}
--- a/src/services/peers/forward_codec.ts
+++ b/src/services/peers/forward_codec.ts
@@ -26,6 +26,7 @@
   path: z.string(),
   headers: z.record(z.string(), z.string()),
   remainingMs: z.number(),
+  planRank: z.number().optional(),
 });
 
 /** Encodes everything but the body. */
--- a/src/testing/fake_backend.ts
+++ b/src/testing/fake_backend.ts
@@ -45,6 +45,22 @@
   /** Runs the request, then loses the answer. */
   losesAnswers: boolean;
   isAlive: boolean;
+  /** Takes requests and never answers them. */
+  hangsRequests: boolean;
+  /** Answers requests but no probes. */
+  failsProbes: boolean;
+  answerFault: FakeAnswerFault;
+}
+
+/** What is wrong with a fake server's answers. */
+export enum FakeAnswerFault {
+  None = "none",
+  /** The body ends before its declared length. */
+  CutBody = "cut-body",
+  /** The answer names another request. */
+  OtherRequest = "other-request",
+  /** The body never ends. */
+  EndlessBody = "endless-body",
 }
 
 interface HeldGrant {
@@ -77,6 +93,9 @@
       isShedding: false,
       losesAnswers: false,
       isAlive: true,
+      hangsRequests: false,
+      failsProbes: false,
+      answerFault: FakeAnswerFault.None,
       ...behaviour,
     };
   }
@@ -103,12 +122,15 @@
       const refusal = this.#refusalOf(request, location, startBeforeWallMs);
       if (refusal !== undefined) return err(refusal);
       const execution = this.#record(request, location);
+      if (this.behaviour.hangsRequests) await new Promise(() => {});
       await this.clock.sleep(this.behaviour.serviceTimeMs);
       execution.finishedAtMs = this.clock.nowMs();
       if (!this.behaviour.isAlive || this.behaviour.losesAnswers) {
         return err(this.#createUnknown());
       }
-      return ok(createAnswer(this.serverId, request));
+      return ok(
+        createAnswer(this.serverId, request, this.behaviour.answerFault),
+      );
     } finally {
       this.#busySlots -= 1;
       this.#waiting.shift()?.();
@@ -132,6 +154,7 @@
   /** Withdraws a grant. */
   revoke(grant: BackendGrant): void {
     for (const name of grantNames(grant)) {
+      if ((this.grants.get(name)?.fence ?? 0) > grant.fence) continue;
       this.grants.set(name, { fence: grant.fence, expiresAtMs: 0 });
     }
   }
@@ -208,11 +231,26 @@
 function createAnswer(
   serverId: string,
   request: RoutedRequest,
+  fault: FakeAnswerFault,
 ): RoutedResponse {
+  const content = Buffer.from(
+    `${request.service}/${request.key}/${request.requestId}`,
+  );
   async function* body(): AsyncIterable<Uint8Array> {
-    yield Buffer.from(`${request.service}/${request.key}/${request.requestId}`);
+    if (fault === FakeAnswerFault.CutBody) yield content.subarray(1);
+    else yield content;
+    if (fault === FakeAnswerFault.EndlessBody) await new Promise(() => {});
   }
-  return { status: 200, headers: { "skylark-server": serverId }, body: body() };
+  const isOther = fault === FakeAnswerFault.OtherRequest;
+  return {
+    status: 200,
+    headers: {
+      "skylark-server": serverId,
+      "skylark-request-id": isOther ? "other" : request.requestId,
+      "content-length": String(content.length),
+    },
+    body: body(),
+  };
 }
 
 /** All backend servers of one test. */
@@ -266,6 +304,7 @@
       readonly startBeforeWallMs: number;
     },
   ): Promise<Result<RoutedResponse, RouterError>> {
+    await this.#clock.gate();
     const server = this.#tryReach(location.server);
     if (server === undefined) return err(this.#createUnreachable(location));
     const cancelled = waitForAbort(options.signal).then(() =>
@@ -285,6 +324,9 @@
   ): Promise<Result<BackendReport, RouterError>> {
     this.#world.probeCount += 1;
     const reached = await this.#control(server, signal);
+    if (reached.isOk() && reached.value.behaviour.failsProbes) {
+      return err(createProbeFailure(server));
+    }
     return reached.map((target) => ({
       isHealthy: true,
       isDraining: target.behaviour.isDraining,
@@ -377,6 +419,14 @@
   }
 }
 
+function createProbeFailure(server: AssignedServer): RouterError {
+  return new RouterError(MessageCode.BackendUnreachable, "probe", {
+    peer: server.serverId,
+    detail: "no answer",
+    outcome: AttemptOutcome.Unknown,
+  });
+}
+
 function waitForAbort(signal: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
     if (signal.aborted) return resolve();
--- /dev/null
+++ b/src/testing/fake_ownership.ts
@@ -0,0 +1,210 @@
+/**
+ * Assignments that a test sets by hand, and the membership of the daemons that
+ * hold them, for tests of the home and delivery services alone.
+ */
+import { setMaxListeners } from "node:events";
+import { err, ok, type Result } from "neverthrow";
+import { MessageCode } from "../diagnostics/messages.ts";
+import type { ServiceLookup } from "../kernel/kernel.ts";
+import { ServiceName } from "../kernel/service_name.ts";
+import {
+  type Announcement,
+  Membership,
+} from "../services/membership/membership.ts";
+import {
+  type HomePermit,
+  type InFlightSource,
+  Ownership,
+  type ServerObservation,
+} from "../services/ownership/ownership.ts";
+import { EventSource } from "../streams/event_source.ts";
+import { RouterError } from "../types/errors.ts";
+import type {
+  DaemonId,
+  DaemonInfo,
+  KeyLocation,
+  MoveRecord,
+  ServerId,
+  ServiceAssignment,
+  ServiceDefinition,
+} from "../types/types.ts";
+
+const permitDurationMs = 1_800;
+const permitRenewalMs = 300;
+
+/** Holds the assignment that the test set; renews its permit by a task. */
+export class FakeOwnership extends Ownership {
+  readonly observations: ServerObservation[] = [];
+  readonly #definitions: readonly ServiceDefinition[];
+  readonly #daemonId: DaemonId;
+  readonly #changes = new EventSource<ServiceAssignment>();
+  readonly #assignments = new Map<string, ServiceAssignment>();
+  readonly #stopping = new AbortController();
+  #newer = new AbortController();
+  #inFlight: InFlightSource | undefined;
+  #permitExpiresAtMs = 0;
+  #services: ServiceLookup | undefined;
+  #renewal: Promise<void> = Promise.resolve();
+  /** Keeps the permit from being renewed. */
+  isCutOff = false;
+  override readonly changes = this.#changes.stream;
+
+  constructor(daemonId: DaemonId, definitions: readonly ServiceDefinition[]) {
+    super();
+    this.#daemonId = daemonId;
+    this.#definitions = definitions;
+  }
+
+  override start(services: ServiceLookup): Promise<void> {
+    this.#services = services;
+    this.#renewal = this.#renew(services);
+    return Promise.resolve();
+  }
+
+  override stop(): Promise<void> {
+    this.#stopping.abort();
+    return this.#renewal;
+  }
+
+  /** Puts an assignment in force on this daemon. */
+  assign(assignment: ServiceAssignment): void {
+    this.#assignments.set(assignment.service, assignment);
+    this.#changes.publish(assignment);
+    this.#newer.abort();
+    this.#newer = new AbortController();
+  }
+
+  /** Whether the home has released what the assignment took away. */
+  isReleased(assignment: ServiceAssignment): boolean {
+    return this.#inFlight?.isReleased(assignment) ?? true;
+  }
+
+  override definitions(): readonly ServiceDefinition[] {
+    return this.#definitions;
+  }
+
+  override tryGetDefinition(service: string): ServiceDefinition | undefined {
+    return this.#definitions.find(({ name }) => name === service);
+  }
+
+  override locate(
+    service: string,
+    key: string,
+  ): Result<KeyLocation, RouterError> {
+    const assignment = this.#assignments.get(service);
+    if (assignment === undefined) {
+      return err(new RouterError(MessageCode.NoOwner, "locate"));
+    }
+    const shard = computeFakeShard(key, assignment.shardServers.length);
+    const override = assignment.overrides.find((entry) => entry.key === key);
+    const server = override === undefined
+      ? assignment.servers[assignment.shardServers[shard] ?? -1]
+      : assignment.servers.find((s) => s.serverId === override.serverId);
+    if (server === undefined) {
+      return err(new RouterError(MessageCode.KeyInMotion, "locate"));
+    }
+    return ok({
+      service,
+      shard,
+      server,
+      fence: override?.fence ?? assignment.shardFences[shard] ?? 0,
+      assignmentVersion: assignment.version,
+    });
+  }
+
+  override tryGetAssignment(service: string): ServiceAssignment | undefined {
+    return this.#assignments.get(service);
+  }
+
+  override async waitForNewer(
+    service: string,
+    version: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const isNewer = (this.#assignments.get(service)?.version ?? 0) > version;
+    if (isNewer || signal.aborted) return;
+    const newer = this.#newer.signal;
+    setMaxListeners(0, newer);
+    await new Promise<void>((resolve) => {
+      newer.addEventListener("abort", () => resolve(), { once: true });
+      signal.addEventListener("abort", () => resolve(), { once: true });
+    });
+  }
+
+  override requestRefresh(_service: string): void {}
+
+  override tryGetPermit(serverId: ServerId): HomePermit | undefined {
+    const nowMs = this.#services!.get(ServiceName.Clock).nowMs();
+    if (nowMs >= this.#permitExpiresAtMs) return undefined;
+    for (const { servers } of this.#assignments.values()) {
+      const server = servers.find((s) => s.serverId === serverId);
+      if (server?.homeDaemonId !== this.#daemonId) continue;
+      const { homeFence } = server;
+      return { serverId, homeFence, expiresAtMs: this.#permitExpiresAtMs };
+    }
+    return undefined;
+  }
+
+  override setInFlightSource(source: InFlightSource): void {
+    this.#inFlight = source;
+  }
+
+  override observe(observation: ServerObservation): void {
+    this.observations.push(observation);
+  }
+
+  override history(): readonly MoveRecord[] {
+    return [];
+  }
+
+  async #renew(services: ServiceLookup): Promise<void> {
+    const clock = services.get(ServiceName.Clock);
+    while (!this.#stopping.signal.aborted) {
+      if (!this.isCutOff) {
+        this.#permitExpiresAtMs = clock.nowMs() + permitDurationMs;
+      }
+      await clock.sleep(permitRenewalMs, this.#stopping.signal);
+    }
+  }
+}
+
+/** A shard that a test can work out: the sum of the key's characters. */
+export function computeFakeShard(key: string, shardCount: number): number {
+  const sum = [...key].reduce((total, c) => total + c.charCodeAt(0), 0);
+  return sum % shardCount;
+}
+
+/** The daemons that a test lists. */
+export class FakeMembership extends Membership {
+  readonly #self: DaemonInfo;
+  readonly #listed: readonly DaemonInfo[];
+  #isDraining = false;
+  override readonly changes = new EventSource<readonly DaemonInfo[]>().stream;
+  override readonly announcements = new EventSource<Announcement>().stream;
+
+  constructor(self: DaemonInfo, listed: readonly DaemonInfo[]) {
+    super();
+    this.#self = self;
+    this.#listed = listed;
+  }
+
+  override self(): DaemonInfo {
+    return { ...this.#self, isDraining: this.#isDraining };
+  }
+
+  override daemons(): readonly DaemonInfo[] {
+    return this.#listed.map((daemon) =>
+      daemon.daemonId === this.#self.daemonId ? this.self() : daemon
+    );
+  }
+
+  override tryGetDaemon(daemonId: DaemonId): DaemonInfo | undefined {
+    return this.daemons().find((daemon) => daemon.daemonId === daemonId);
+  }
+
+  override beginDraining(): void {
+    this.#isDraining = true;
+  }
+
+  override announce(_announcement: Announcement): void {}
+}
--- a/src/types/enums.ts
+++ b/src/types/enums.ts
@@ -18,6 +18,14 @@
   Unknown = "unknown",
 }
 
+/** Why a backend server refused a request without running it. */
+export enum RefusalReason {
+  Fence = "fence",
+  Shedding = "shedding",
+  Draining = "draining",
+  StartDeadline = "start-deadline",
+}
+
 /** Whether a service's backend servers verify the fence of each request. */
 export enum FencingMode {
   Checked = "checked",
--- a/src/types/types.ts
+++ b/src/types/types.ts
@@ -130,6 +130,8 @@
   readonly body: Uint8Array;
   /** Local monotonic instant after which the answer is of no use. */
   readonly deadlineAtMs: number;
+  /** Order of shedding within a class; the highest rank is shed last. */
+  readonly planRank?: number;
 }
 
 /** A backend server's answer; the body streams. */
--- a/standins/backend_server.ts
+++ b/standins/backend_server.ts
@@ -93,6 +93,7 @@
 
 function revokeGrant(grant: BackendGrant): void {
   for (const name of grantNames(grant)) {
+    if ((grants.get(name)?.fence ?? 0) > grant.fence) continue;
     grants.set(name, { fence: grant.fence, expiresAtMs: 0 });
   }
 }
@@ -139,6 +140,7 @@
     response.writeHead(200, {
       "content-type": "application/json",
       "skylark-server": serverId,
+      "skylark-request-id": record.requestId,
     });
     response.end(JSON.stringify({ key: record.key, url: request.url, body }));
   } finally {
