--- a/src/services/entry/refusal.ts
+++ b/src/services/entry/refusal.ts
@@ -74,6 +74,11 @@
   response.end(refusal.body);
 }
 
+function mayHaveRun(outcome: AttemptOutcome): boolean {
+  return outcome === AttemptOutcome.Unknown ||
+    outcome === AttemptOutcome.Answered;
+}
+
 /** The HTTP status of a failure; codes not listed are a bad gateway. */
 function statusOf(failure: RouterError): number {
   return statusByCode[failure.code] ?? statusBadGateway;
@@ -102,5 +107,6 @@
   [MessageCode.RetryBudgetSpent]: 503,
   [MessageCode.RepeatInProgress]: 409,
   [MessageCode.ListsMissing]: 503,
+  [MessageCode.RepeatAnswerGone]: 409,
   [MessageCode.Internal]: 500,
 };
--- a/src/types/types.ts
+++ b/src/types/types.ts
@@ -130,7 +130,7 @@
   readonly body: Uint8Array;
   /** Local monotonic instant after which the answer is of no use. */
   readonly deadlineAtMs: number;
-  /** Order of shedding under overload; the highest rank is shed last. */
+  /** Order of shedding within a class; the highest rank is shed last. */
   readonly planRank?: number;
 }
 
