Add the operators' tool and the RPCs it asks

Cause: operators could not see owners, limits, refusals or the state of the fleet.

Ruled out: one daemon that asks the others on behalf of the tool; it would spend a daemon's control budget on each look and hide which daemon is silent.

Ownership.coordinator() is new and optional.

--- /dev/null
+++ b/src/cli/commands/histograms_command.ts
@@ -0,0 +1,106 @@
+/**
+ * `histograms`: wait, service and total time of each customer and class. The
+ * counts are summed over the daemons; each quantile is the highest of any.
+ */
+import {
+  type Histogram,
+  OperatorService,
+} from "../../gen/skylarkridge/v1/operator_pb.ts";
+import {
+  collectValues,
+  Command,
+  type CommandContext,
+  printResult,
+  reportSilentDaemons,
+} from "../command.ts";
+import type { ToolExitCode } from "../exit_code.ts";
+import { formatTable } from "../table.ts";
+
+const shownDecimals = 1;
+
+/** One histogram over the fleet. */
+interface FleetHistogram {
+  readonly timing: string;
+  readonly customer: string;
+  readonly requestClass: string;
+  readonly count: number;
+  readonly p50Ms: number;
+  readonly p90Ms: number;
+  readonly p99Ms: number;
+  readonly maxMs: number;
+}
+
+/** Shows histograms. */
+export class HistogramsCommand extends Command {
+  override readonly name = "histograms";
+  override readonly usage = "";
+  override readonly summary =
+    "times by customer and class; quantiles of the slowest daemon";
+  override readonly minArgumentCount = 0;
+  override readonly maxArgumentCount = 0;
+
+  override async run(context: CommandContext): Promise<ToolExitCode> {
+    const answers = await context.fleet.askAll(
+      OperatorService,
+      (client) => client.listHistograms({}),
+    );
+    const histograms = collectValues(answers)
+      .flatMap(({ value }) => value.histograms);
+    const joined = joinHistograms(histograms);
+    printResult(context, joined, { render: formatHistograms });
+    return reportSilentDaemons(context, answers);
+  }
+}
+
+function joinHistograms(histograms: readonly Histogram[]): FleetHistogram[] {
+  const joined = new Map<string, FleetHistogram>();
+  for (const histogram of histograms) {
+    const { customer, requestClass, timing } = histogram;
+    const name = `${customer}/${requestClass}/${timing}`;
+    joined.set(name, joinTwo(joined.get(name), histogram));
+  }
+  return [...joined.entries()]
+    .sort(([a], [b]) => a < b ? -1 : 1)
+    .map(([, histogram]) => histogram);
+}
+
+function joinTwo(
+  known: FleetHistogram | undefined,
+  added: Histogram,
+): FleetHistogram {
+  return {
+    timing: added.timing,
+    customer: added.customer,
+    requestClass: added.requestClass,
+    count: (known?.count ?? 0) + Number(added.count),
+    p50Ms: Math.max(known?.p50Ms ?? 0, added.p50Ms),
+    p90Ms: Math.max(known?.p90Ms ?? 0, added.p90Ms),
+    p99Ms: Math.max(known?.p99Ms ?? 0, added.p99Ms),
+    maxMs: Math.max(known?.maxMs ?? 0, added.maxMs),
+  };
+}
+
+function formatHistograms(histograms: readonly FleetHistogram[]): string[] {
+  if (histograms.length === 0) return ["nothing has been recorded"];
+  const columns = [
+    { title: "CUSTOMER" },
+    { title: "CLASS" },
+    { title: "TIMING" },
+    { title: "COUNT", isNumeric: true },
+    { title: "P50 MS", isNumeric: true },
+    { title: "P90 MS", isNumeric: true },
+    { title: "P99 MS", isNumeric: true },
+    { title: "MAX MS", isNumeric: true },
+  ];
+  const rows = histograms.map((histogram) => [
+    histogram.customer,
+    histogram.requestClass,
+    histogram.timing,
+    String(histogram.count),
+    histogram.p50Ms.toFixed(shownDecimals),
+    histogram.p90Ms.toFixed(shownDecimals),
+    histogram.p99Ms.toFixed(shownDecimals),
+    histogram.maxMs.toFixed(shownDecimals),
+  ]);
+  return formatTable(columns, rows);
+}
--- /dev/null
+++ b/src/cli/commands/history_command.ts
@@ -0,0 +1,54 @@
+/** `history [SERVICE]`: the recent changes of owners and homes. */
+import {
+  type Move,
+  OperatorService,
+} from "../../gen/skylarkridge/v1/operator_pb.ts";
+import { Command, type CommandContext, printResult } from "../command.ts";
+import { ToolExitCode } from "../exit_code.ts";
+import { formatOptional, formatTable, formatWallTime } from "../table.ts";
+
+/** Lists the moves that the asked daemon remembers. */
+export class HistoryCommand extends Command {
+  override readonly name = "history";
+  override readonly usage = "[SERVICE]";
+  override readonly summary = "recent moves, oldest first";
+  override readonly minArgumentCount = 0;
+  override readonly maxArgumentCount = 1;
+
+  override async run(context: CommandContext): Promise<ToolExitCode> {
+    const [service = ""] = context.arguments;
+    const { moves } = await context.fleet.ask(
+      OperatorService,
+      (client) => client.listMoves({ service }),
+    );
+    printResult(context, moves, { render: formatMoves });
+    return ToolExitCode.Success;
+  }
+}
+
+function formatMoves(moves: readonly Move[]): string[] {
+  if (moves.length === 0) return ["no moves are remembered"];
+  const columns = [
+    { title: "TIME" },
+    { title: "SERVICE" },
+    { title: "REASON" },
+    { title: "FROM" },
+    { title: "TO" },
+    { title: "SHARDS", isNumeric: true },
+    { title: "KEY" },
+    { title: "EPOCH", isNumeric: true },
+    { title: "VERSION", isNumeric: true },
+  ];
+  const rows = moves.map((move) => [
+    formatWallTime(move.wallTimeMs),
+    move.service,
+    move.reason,
+    formatOptional(move.fromServerId),
+    formatOptional(move.toServerId),
+    String(move.shardCount),
+    formatOptional(move.key),
+    String(move.epoch),
+    String(move.version),
+  ]);
+  return formatTable(columns, rows);
+}
--- /dev/null
+++ b/src/cli/commands/status_command.ts
@@ -0,0 +1,30 @@
+/** `status`: daemons, coordinator, backend servers, leases and list versions. */
+import { OperatorService } from "../../gen/skylarkridge/v1/operator_pb.ts";
+import {
+  Command,
+  type CommandContext,
+  printResult,
+  reportSilentDaemons,
+} from "../command.ts";
+import type { ToolExitCode } from "../exit_code.ts";
+import { createFleetStatus, formatFleetStatus } from "../fleet_status.ts";
+
+/** Shows the state of the fleet. */
+export class StatusCommand extends Command {
+  override readonly name = "status";
+  override readonly usage = "";
+  override readonly summary =
+    "daemons, coordinator, backend servers, permits, list versions";
+  override readonly minArgumentCount = 0;
+  override readonly maxArgumentCount = 0;
+
+  override async run(context: CommandContext): Promise<ToolExitCode> {
+    const answers = await context.fleet.askAll(
+      OperatorService,
+      (client) => client.getStatus({}),
+    );
+    const status = createFleetStatus(answers);
+    printResult(context, status, { render: formatFleetStatus });
+    return reportSilentDaemons(context, answers);
+  }
+}
--- a/src/services/entry/caller_connections.ts
+++ b/src/services/entry/caller_connections.ts
@@ -50,8 +50,10 @@
    */
   refuse(
     socket: Duplex,
-    failure: RouterError,
-    requestId: string,
+    { failure, requestId }: {
+      readonly failure: RouterError;
+      readonly requestId: string;
+    },
   ): void {
     this.#refused.add(socket);
     const exchanges = [...this.#exchanges.get(socket) ?? []];
--- a/src/services/entry/http_caller.ts
+++ b/src/services/entry/http_caller.ts
@@ -35,7 +35,7 @@
   context: CallerContext,
 ): Promise<void> {
   const requestId = context.services.get(ServiceName.Random).nextId();
-  const routed = await tryReadRequest(exchange, context, requestId);
+  const routed = await tryReadRequest(exchange, { ...context, requestId });
   if (routed === undefined) return;
   const { response } = exchange;
   const cancellation = createCancellation(response);
@@ -56,11 +56,10 @@
 /** Reads a request; refuses it and returns undefined when it is malformed. */
 async function tryReadRequest(
   exchange: HttpExchange,
-  context: CallerContext,
-  requestId: string,
+  context: CallerContext & { readonly requestId: string },
 ): Promise<RoutedRequest | undefined> {
   const { request, response } = exchange;
-  const { services, bounds } = context;
+  const { services, bounds, requestId } = context;
   try {
     const head = readHead(request, {
       requestId,
--- a/src/services/entry/http_entry.ts
+++ b/src/services/entry/http_entry.ts
@@ -129,7 +129,7 @@
       const failure = tryTranslateParserError(error, maxHeaderBytes);
       if (failure === undefined) return void socket.destroy();
       const requestId = this.#reject(failure);
-      this.#connections.refuse(socket, failure, requestId);
+      this.#connections.refuse(socket, { failure, requestId });
     });
     return server;
   }
--- a/src/services/metrics/statsd_metrics.ts
+++ b/src/services/metrics/statsd_metrics.ts
@@ -59,7 +59,10 @@
 
   override count(name: CounterName, tag?: string, by = 1): void {
     const { countByTag } = this.#counterOf(name);
-    const label = boundLabel(tag ?? "", countByTag, maxTagsPerCounter);
+    const label = boundLabel(tag ?? "", {
+      known: countByTag,
+      maxCount: maxTagsPerCounter,
+    });
     countByTag.set(label, (countByTag.get(label) ?? 0) + by);
     this.#client?.increment(name, by, label === "" ? [] : [`cause:${label}`]);
   }
@@ -103,7 +106,10 @@
 
   /** Keeps the number of histograms bounded, whatever callers send. */
   #boundCustomer(customer: string): string {
-    const label = boundLabel(customer, this.#customers, maxCustomerLabels);
+    const label = boundLabel(customer, {
+      known: this.#customers,
+      maxCount: maxCustomerLabels,
+    });
     this.#customers.add(label);
     return label;
   }
@@ -127,8 +133,10 @@
 /** Returns the label, or the overflow label when there are too many. */
 function boundLabel(
   label: string,
-  known: { readonly size: number; has(label: string): boolean },
-  maxCount: number,
+  { known, maxCount }: {
+    readonly known: { readonly size: number; has(label: string): boolean };
+    readonly maxCount: number;
+  },
 ): string {
   if (known.has(label) || known.size < maxCount) return label;
   return overflowLabel;
--- a/src/services/operator/connect_operator.ts
+++ b/src/services/operator/connect_operator.ts
@@ -1,38 +1,83 @@
-/** Answers the operators' tool over Connect. */
+/** Answers the operators' tool over Connect, for this daemon only. */
 import { Code, ConnectError } from "@connectrpc/connect";
 import { OperatorService } from "../../gen/skylarkridge/v1/operator_pb.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
+import { explainRefusal } from "./explain_refusal.ts";
+import { type KeyQuery, locateKey } from "./locate_key.ts";
 import { Operator } from "./operator.ts";
+import { encodeHistogram, encodeLimit, encodeMove } from "./operator_codec.ts";
+import { createStatus } from "./operator_status.ts";
 
 /** Registers the operator service with the peer server. */
 export class ConnectOperator extends Operator {
   override get needs(): readonly ServiceName[] {
-    return [ServiceName.PeerServer, ServiceName.Ownership];
+    return [
+      ServiceName.PeerServer,
+      ServiceName.Clock,
+      ServiceName.Log,
+      ServiceName.Metrics,
+      ServiceName.Membership,
+      ServiceName.Ownership,
+      ServiceName.Home,
+      ServiceName.Admission,
+      ServiceName.RequestPipeline,
+      ServiceName.Lifecycle,
+    ];
   }
 
   override start(services: ServiceLookup): Promise<void> {
     services.get(ServiceName.PeerServer).addService(OperatorService, {
-      locateKey: ({ service, key }) => locateKey(services, { service, key }),
+      locateKey: (query) => answerLocate(services, query),
+      getStatus: () => createStatus(services),
+      listMoves: ({ service }) => ({ moves: listMoves(services, service) }),
+      listLimits: ({ customer }) => ({
+        limits: listLimits(services, customer),
+      }),
+      listHistograms: () => ({
+        histograms: services.get(ServiceName.Metrics).histograms()
+          .map(encodeHistogram),
+      }),
+      listCounters: () => ({ counters: listCounters(services) }),
+      explainRequest: ({ requestId }) => explain(services, requestId),
+      drainDaemon: () => drain(services),
     });
     return Promise.resolve();
   }
 }
 
-function locateKey(
-  services: ServiceLookup,
-  { service, key }: { readonly service: string; readonly key: string },
-) {
-  const located = services.get(ServiceName.Ownership).locate(service, key);
-  if (located.isErr()) {
-    throw new ConnectError(located.error.message, Code.NotFound);
-  }
-  const { shard, server, fence, assignmentVersion } = located.value;
-  return {
-    shard,
-    serverId: server.serverId,
-    homeDaemonId: server.homeDaemonId,
-    fence: BigInt(fence),
-    assignmentVersion: BigInt(assignmentVersion),
-  };
+function answerLocate(services: ServiceLookup, query: KeyQuery) {
+  const located = locateKey(services, query);
+  if (located.isOk()) return located.value;
+  throw new ConnectError(located.error.message, Code.NotFound);
+}
+
+function listMoves(services: ServiceLookup, service: string) {
+  return services.get(ServiceName.Ownership).history()
+    .filter((move) => service === "" || move.service === service)
+    .map(encodeMove);
+}
+
+function listLimits(services: ServiceLookup, customer: string) {
+  return services.get(ServiceName.Admission).status()
+    .filter((limit) => customer === "" || limit.customer === customer)
+    .map(encodeLimit);
+}
+
+function listCounters(services: ServiceLookup) {
+  const counters = services.get(ServiceName.Metrics).counters();
+  return [...counters].map(([name, count]) => ({ name, count: BigInt(count) }));
+}
+
+function explain(services: ServiceLookup, requestId: string) {
+  const record = services.get(ServiceName.RequestPipeline)
+    .tryFindRefusal(requestId);
+  if (record === undefined) return {};
+  return { explanation: explainRefusal(services, record) };
+}
+
+function drain(services: ServiceLookup) {
+  services.get(ServiceName.Log).info("an operator ordered the drain");
+  services.get(ServiceName.Lifecycle).beginDraining();
+  return {};
 }
--- a/src/services/ownership/ownership.ts
+++ b/src/services/ownership/ownership.ts
@@ -9,6 +9,7 @@
 import type { BackendServerState } from "../../types/enums.ts";
 import type { RouterError } from "../../types/errors.ts";
 import type {
+  DaemonId,
   KeyLocation,
   MoveRecord,
   ServerId,
@@ -42,6 +43,14 @@
   readonly requestsPerSecond: number;
 }
 
+/** The coordinator as one daemon knows it. */
+export interface CoordinatorStatus {
+  readonly daemonId: DaemonId;
+  readonly epoch: number;
+  /** Time left of the coordinator's lease; 0 when it has lapsed. */
+  readonly leaseRemainingMs: number;
+}
+
 /** Tells whether a home still has work in flight for parts of an assignment. */
 export abstract class InFlightSource {
   /**
@@ -92,6 +101,11 @@
   /** Hands over what a home observed; sent to the coordinator in time. */
   abstract observe(observation: ServerObservation): void;
 
+  /** The coordinator; undefined while none is known. */
+  coordinator(): CoordinatorStatus | undefined {
+    return undefined;
+  }
+
   /** The most recent moves that this daemon knows of, oldest first. */
   abstract history(): readonly MoveRecord[];
 
--- a/src/services/pipeline/admitting_pipeline.ts
+++ b/src/services/pipeline/admitting_pipeline.ts
@@ -17,6 +17,12 @@
 
 const refusalCapacity = 2_000;
 
+/** A request between admission and the end of its answer. */
+interface RunningRequest {
+  readonly request: RoutedRequest;
+  readonly scope: RequestScope;
+}
+
 /** Admits with the admission service and delivers with the delivery service. */
 export class AdmittingPipeline extends RequestPipeline {
   readonly #refusals = new RefusalHistory(refusalCapacity);
@@ -59,7 +65,7 @@
     });
     const result = await this.#admitAndDeliver(request, scope);
     if (result.isOk()) {
-      const body = this.#meterBody(result.value.body, request, scope);
+      const body = this.#meterBody(result.value, { request, scope });
       return ok({ ...result.value, body });
     }
     scope.end();
@@ -85,7 +91,7 @@
     const { planRank, refund } = ticket.value;
     const result = await this.#deliver({ ...request, planRank }, scope);
     if (result.isOk()) {
-      this.#recordFirstByte(request, scope, result.value.queuedMs ?? 0);
+      this.#recordFirstByte(result.value, { request, scope });
     } else if (result.error.outcome === AttemptOutcome.NotSent) {
       refund.call(ticket.value);
     }
@@ -109,9 +115,8 @@
   }
 
   #recordFirstByte(
-    request: RoutedRequest,
-    scope: RequestScope,
-    queuedMs: number,
+    { queuedMs = 0 }: RoutedResponse,
+    { request, scope }: RunningRequest,
   ): void {
     const metrics = this.#services!.get(ServiceName.Metrics);
     const { admissionMs, deliveryMs } = scope.elapsed();
@@ -122,14 +127,13 @@
 
   /** Passes the body on; accounts for the request when the body ends. */
   async *#meterBody(
-    body: AsyncIterable<Uint8Array>,
-    request: RoutedRequest,
-    scope: RequestScope,
+    response: RoutedResponse,
+    { request, scope }: RunningRequest,
   ): AsyncGenerator<Uint8Array> {
     const metrics = this.#services!.get(ServiceName.Metrics);
     let isComplete = false;
     try {
-      for await (const chunk of body) {
+      for await (const chunk of response.body) {
         throwIfAborted(scope.signal);
         yield chunk;
       }
