Join the home and delivery services with ownership and the faces

The steady traffic of the ownership tests never consumed its answers, so the homes' slots stayed taken, as their contract says.

--- a/src/services/entry/refusal.ts
+++ b/src/services/entry/refusal.ts
@@ -74,11 +74,6 @@
   response.end(refusal.body);
 }
 
-function mayHaveRun(outcome: AttemptOutcome): boolean {
-  return outcome === AttemptOutcome.Unknown ||
-    outcome === AttemptOutcome.Answered;
-}
-
 /** The HTTP status of a failure; codes not listed are a bad gateway. */
 function statusOf(failure: RouterError): number {
   return statusByCode[failure.code] ?? statusBadGateway;
--- a/src/services/peers/forward_codec.ts
+++ b/src/services/peers/forward_codec.ts
@@ -27,7 +27,6 @@
   headers: z.record(z.string(), z.string()),
   planRank: z.number().optional(),
   remainingMs: z.number(),
-  planRank: z.number().optional(),
 });
 
 /** Encodes everything but the body. */
--- a/src/testing/fake_ownership.ts
+++ b/src/testing/fake_ownership.ts
@@ -207,4 +207,10 @@
   }
 
   override announce(_announcement: Announcement): void {}
+
+  override knownAnnouncements(): readonly Announcement[] {
+    return [];
+  }
+
+  override learnMembers(_members: readonly DaemonInfo[]): void {}
 }
--- a/src/testing/key_traffic.ts
+++ b/src/testing/key_traffic.ts
@@ -4,6 +4,7 @@
  */
 import { computeLongestGapMs, findViolations } from "./invariant_checker.ts";
 import type { Violation } from "./invariant_checker.ts";
+import type { RoutedRequest } from "../types/types.ts";
 import type { TestDaemon, TestFleet } from "./test_fleet.ts";
 
 /** What to send. */
@@ -83,8 +84,22 @@
         key: `key-${index}`,
         deadlineAtMs: this.#fleet.clock.nowMs() + this.#options.deadlineMs,
       });
-      this.#fleet.deliver(daemon, request).catch(() => {});
+      void sendAndConsume(this.#fleet, { daemon, request });
     }
     this.#turn += 1;
   }
 }
+
+/** Consumes the answer, as a caller does; the slot stays taken until then. */
+async function sendAndConsume(
+  fleet: TestFleet,
+  call: { readonly daemon: TestDaemon; readonly request: RoutedRequest },
+): Promise<void> {
+  try {
+    const result = await fleet.deliver(call.daemon, call.request);
+    if (result.isErr()) return;
+    for await (const _chunk of result.value.body);
+  } catch {
+    // A broken answer; the backend servers' logs show what ran.
+  }
+}
