Release no shard while a paused backend server may still start its work

The home gave up its idempotent attempts on the lost server and dropped them from the in-flight table, so it reported the shard as released while the requests' start-before instant was still to come. Ruled out: the grants' duration and the coordinator's order of commits; the release report itself came too early. Change: an attempt without an answer or a refusal counts as in flight until its start-before instant; that instant is at most 1 s after the send, so a release waits no longer than that.

--- a/src/proof/caller_load.ts
+++ b/src/proof/caller_load.ts
@@ -73,7 +73,7 @@
       key: caller.key,
       method: "POST",
       isIdempotent: false,
-      idempotencyKey: `confirmation-${caller.index}`,
+      idempotencyKey: `confirmation-${options.seed}-${caller.index}`,
       deadlineAtMs: fleet.clock.nowMs() + options.deadlineMs,
     });
     const attempt = await send(fleet, request, caller.daemonIndex + repeat);
--- /dev/null
+++ b/src/proof/fleet_run_test.ts
@@ -0,0 +1,69 @@
+import * as assert from "uvu/assert";
+import * as fc from "fast-check";
+import { describe, it } from "../testing/describe.ts";
+import { FencingMode } from "../types/enums.ts";
+import {
+  createFaultScheduleArbitrary,
+  type Fault,
+  FaultKind,
+} from "./fault_schedule.ts";
+import { type FleetRunReport, runFleet } from "./fleet_run.ts";
+
+function run(
+  faults: readonly Fault[],
+  fencingMode: FencingMode,
+): Promise<FleetRunReport> {
+  return runFleet(faults, {
+    seed: 1,
+    fencingMode,
+    daemonCount: 5,
+    serverCount: 4,
+    loadDurationMs: 10_000,
+    loadIntervalMs: 20,
+  });
+}
+
+function createFault(fault: Partial<Fault> & Pick<Fault, "kind">): Fault {
+  return {
+    startsAtMs: 1_000,
+    durationMs: 2_000,
+    targetIndex: 0,
+    otherIndex: 0,
+    ...fault,
+  };
+}
+
+describe("whole daemons under faults", () => {
+  describe("schedules that once broke a promise", () => {
+    it("releases no shard while a paused server may still start work", async () => {
+      const fault = createFault({
+        kind: FaultKind.FreezeServer,
+        startsAtMs: 7_670,
+        durationMs: 1_220,
+        targetIndex: 2,
+      });
+      const report = await run([fault], FencingMode.Checked);
+      assert.equal(report.violations, []);
+    });
+  });
+
+  for (const fencingMode of Object.values(FencingMode)) {
+    describe(`generated schedules with fences ${fencingMode}`, () => {
+      it("keep every promise and recover", async () => {
+        const schedules = createFaultScheduleArbitrary({
+          maxFaultCount: 5,
+          lengthMs: 8_000,
+          maxDurationMs: 4_000,
+        });
+        await fc.assert(
+          fc.asyncProperty(schedules, async (faults) => {
+            const report = await run(faults, fencingMode);
+            assert.equal(report.violations, []);
+            assert.is(report.recoveredCount, report.probeCount);
+          }),
+          { numRuns: 6, seed: 20_261_204 },
+        );
+      });
+    });
+  }
+});
--- a/src/services/home/in_flight.ts
+++ b/src/services/home/in_flight.ts
@@ -22,6 +22,8 @@
   readonly abort: DeadlineSignal;
   /** Whether the head of the answer arrived, so that the work is done. */
   hasAnswer: boolean;
+  /** Whether the backend server will not start the request any more. */
+  isSettled: boolean;
 }
 
 /** All attempts in flight from one daemon. */
@@ -29,6 +31,8 @@
   readonly #clock: Clock;
   readonly #getDaemonId: () => DaemonId;
   readonly #attempts = new Set<InFlightAttempt>();
+  /** Given up without an answer; a paused server may still start them. */
+  readonly #unsettled = new Set<InFlightAttempt>();
   readonly #newest = new Map<string, ServiceAssignment>();
 
   constructor(clock: Clock, getDaemonId: () => DaemonId) {
@@ -46,9 +50,17 @@
     this.#attempts.add(attempt);
   }
 
-  /** Removes a finished attempt. */
+  /**
+   * Removes an attempt that was answered, refused or given up. One that the
+   * server may still start counts until its start-before instant.
+   */
   remove(attempt: InFlightAttempt): void {
     this.#attempts.delete(attempt);
+    if (attempt.hasAnswer || attempt.isSettled) return;
+    const remainingMs = attempt.startBeforeAtMs - this.#clock.nowMs();
+    if (remainingMs < 0) return;
+    this.#unsettled.add(attempt);
+    this.#clock.after(remainingMs, () => this.#unsettled.delete(attempt));
   }
 
   /** Whether the newest assignment seen here allows a send to `location`. */
@@ -65,7 +77,7 @@
     const known = this.#newest.get(assignment.service);
     if (known !== undefined && known.version >= assignment.version) return;
     this.#newest.set(assignment.service, assignment);
-    for (const attempt of this.#forbidden(assignment)) {
+    for (const attempt of this.#forbidden(this.#attempts, assignment)) {
       const remainingMs = attempt.startBeforeAtMs - this.#clock.nowMs();
       this.#clock.after(remainingMs, () => {
         if (!attempt.hasAnswer) attempt.abort.abort(AbortCause.Moved);
@@ -85,13 +97,21 @@
   override isReleased(assignment: ServiceAssignment): boolean {
     this.noteAssignment(assignment);
     const nowMs = this.#clock.nowMs();
-    return this.#forbidden(assignment).every((attempt) =>
-      attempt.hasAnswer && nowMs >= attempt.startBeforeAtMs
+    const forbidden = [
+      ...this.#forbidden(this.#attempts, assignment),
+      ...this.#forbidden(this.#unsettled, assignment),
+    ];
+    return forbidden.every((attempt) =>
+      (attempt.hasAnswer || this.#unsettled.has(attempt)) &&
+      nowMs > attempt.startBeforeAtMs
     );
   }
 
-  #forbidden(assignment: ServiceAssignment): InFlightAttempt[] {
-    return [...this.#attempts].filter((attempt) =>
+  #forbidden(
+    attempts: ReadonlySet<InFlightAttempt>,
+    assignment: ServiceAssignment,
+  ): InFlightAttempt[] {
+    return [...attempts].filter((attempt) =>
       attempt.location.service === assignment.service &&
       !this.#allows(assignment, attempt)
     );
--- a/src/services/home/slot_task.ts
+++ b/src/services/home/slot_task.ts
@@ -19,6 +19,8 @@
 import { noteAttemptError } from "./note_attempt_error.ts";
 import type { DispatchResult, QueuedRequest } from "./queued_request.ts";
 
+/** Time within which a backend server must start a request sent to it. */
+const startWindowMs = 1_000;
 /** How long a request waits in its slot for the server to accept a grant. */
 const grantWaitMs = 400;
 
@@ -69,6 +71,7 @@
     isIdempotent: entry.request.isIdempotent,
     abort: entry.abort,
     hasAnswer: false,
+    isSettled: false,
   };
   inFlight.add(attempt);
   try {
@@ -129,7 +132,11 @@
     context.metrics.count(CounterName.PermitsLapsed);
     return err(createNotSent(MessageCode.PermitLapsed, serverId));
   }
-  const expiresAtMs = Math.min(permit.expiresAtMs, request.deadlineAtMs);
+  const expiresAtMs = Math.min(
+    permit.expiresAtMs,
+    request.deadlineAtMs,
+    nowMs + startWindowMs,
+  );
   return ok({ location, expiresAtMs });
 }
 
@@ -176,6 +183,7 @@
   server.health.noteSent(sentAtMs);
   const result = await send(scope, { entry, attempt });
   if (result.isErr()) {
+    attempt.isSettled = result.error.outcome !== AttemptOutcome.Unknown;
     noteAttemptError(scope, {
       error: result.error,
       abortCause: entry.abort.cause,
--- a/src/testing/test_fleet.ts
+++ b/src/testing/test_fleet.ts
@@ -87,6 +87,7 @@
   readonly daemons: TestDaemon[] = [];
   readonly definition: ServiceDefinition;
   readonly #options: TestFleetOptions;
+  readonly #starting = new Set<TestDaemon>();
   #requestCount = 0;
   #daemonCount = 0;
 
@@ -150,7 +151,7 @@
     const daemonId = `daemon-${String(index).padStart(3, "0")}`;
     const dataCentre = dataCentres[index % dataCentres.length]!;
     const daemon = this.#createDaemon(daemonId, { index, dataCentre });
-    this.daemons.push(daemon);
+    this.#starting.add(daemon);
     this.putVm({
       vmId: daemonId,
       role: VmRole.Daemon,
@@ -159,7 +160,9 @@
       dataCentre,
     });
     await daemon.kernel.start();
+    this.#starting.delete(daemon);
     this.network.attach(daemon.address, daemon.kernel);
+    this.daemons.push(daemon);
     return daemon;
   }
 
@@ -177,7 +180,7 @@
 
   /** Shows the present list of VMs to every daemon. */
   publishVms(): void {
-    for (const daemon of this.daemons) {
+    for (const daemon of [...this.daemons, ...this.#starting]) {
       daemon.directory.publish(this.platform.state.vms());
     }
   }
