Name members by their place in syncs; count the cost of control

Cause: at 48 daemons an idle daemon moved 988 bytes/s of control messages and the coordinator 14,348 (bench/control_cost.ts), most of it daemon addresses.

Change: a report names a member by its place in the members list and dates its token against the newest one; only daemons the list does not show as they are get spelled out. A daemon remembers four lists, so that reports from before a change count.

--- /dev/null
+++ b/bench/control_cost.ts
@@ -0,0 +1,130 @@
+/**
+ * Counts what control costs in an idle fleet, on virtual time: calls between
+ * daemons, bytes of their messages (without HTTP headers), and reads and
+ * writes of the table. Prints one line for each fleet size and the slope of
+ * each figure. The counts do not depend on the speed of the machine. Fleet
+ * sizes can be given as arguments.
+ */
+import { fileURLToPath } from "node:url";
+import { findCoordinator } from "../src/testing/fleet_queries.ts";
+import { TestFleet } from "../src/testing/test_fleet.ts";
+
+const measuredMs = 10_000;
+const seed = 61;
+const benchDaemonCounts: readonly number[] = [3, 6, 12, 24, 48];
+
+/** The cost of control in a fleet of one size. */
+export interface ControlCost {
+  readonly daemonCount: number;
+  /** Calls that a daemon makes, on average. */
+  readonly callsPerDaemonSecond: number;
+  /** Bytes that a daemon sends and receives, on average. */
+  readonly bytesPerDaemonSecond: number;
+  /** Bytes that the coordinator sends and receives. */
+  readonly coordinatorBytesPerSecond: number;
+  /** Reads of the table by the whole fleet. */
+  readonly tableReadsPerSecond: number;
+  /** Writes of the table by the whole fleet. */
+  readonly tableWritesPerSecond: number;
+}
+
+/** Runs an idle fleet and counts. */
+export async function measureControlCost(
+  daemonCount: number,
+): Promise<ControlCost> {
+  const fleet = new TestFleet({ seed, daemonCount, serverCount: 12 });
+  await fleet.start();
+  await fleet.clock.advance(measuredMs);
+  const coordinator = findCoordinator(fleet).address;
+  const { network, platform } = fleet;
+  const before = {
+    callCount: sum(network.callCounts),
+    byteCount: sum(network.byteCounts),
+    coordinatorByteCount: network.byteCounts.get(coordinator) ?? 0,
+    readCount: platform.readCount,
+    writeCount: platform.writeCount,
+  };
+  await fleet.clock.advance(measuredMs);
+  const seconds = measuredMs / 1_000;
+  const coordinatorByteCount = network.byteCounts.get(coordinator) ?? 0;
+  const perSecond = (count: number) => count / seconds;
+  const cost: ControlCost = {
+    daemonCount,
+    callsPerDaemonSecond:
+      perSecond(sum(network.callCounts) - before.callCount) /
+      daemonCount,
+    bytesPerDaemonSecond:
+      perSecond(sum(network.byteCounts) - before.byteCount) /
+      daemonCount,
+    coordinatorBytesPerSecond: perSecond(
+      coordinatorByteCount - before.coordinatorByteCount,
+    ),
+    tableReadsPerSecond: perSecond(platform.readCount - before.readCount),
+    tableWritesPerSecond: perSecond(platform.writeCount - before.writeCount),
+  };
+  await fleet.stop();
+  return cost;
+}
+
+/** Slope of `y` over the number of daemons, by least squares. */
+export function fitSlope(
+  costs: readonly ControlCost[],
+  getFigure: (cost: ControlCost) => number,
+): number {
+  const meanX = mean(costs.map((c) => c.daemonCount));
+  const meanY = mean(costs.map(getFigure));
+  const spread = costs.map((c) => (c.daemonCount - meanX) ** 2);
+  const joint = costs.map((c) =>
+    (c.daemonCount - meanX) * (getFigure(c) - meanY)
+  );
+  return mean(joint) / mean(spread);
+}
+
+interface Column {
+  readonly title: string;
+  readonly getFigure: (cost: ControlCost) => number;
+}
+
+const columns: readonly Column[] = [
+  { title: "calls/daemon/s", getFigure: (c) => c.callsPerDaemonSecond },
+  { title: "bytes/daemon/s", getFigure: (c) => c.bytesPerDaemonSecond },
+  { title: "coord bytes/s", getFigure: (c) => c.coordinatorBytesPerSecond },
+  { title: "reads/s (fleet)", getFigure: (c) => c.tableReadsPerSecond },
+  { title: "writes/s (fleet)", getFigure: (c) => c.tableWritesPerSecond },
+];
+
+const columnWidth = 18;
+
+function formatRow(label: string, figures: readonly number[]): string {
+  const cells = figures.map((figure) =>
+    figure.toFixed(2).padStart(columnWidth)
+  );
+  return label.padStart(8) + cells.join("");
+}
+
+async function main(): Promise<void> {
+  const titles = columns.map(({ title }) => title.padStart(columnWidth));
+  console.log("daemons".padStart(8) + titles.join(""));
+  const costs: ControlCost[] = [];
+  const requested = process.argv.slice(2).map(Number);
+  const daemonCounts = requested.length > 0 ? requested : benchDaemonCounts;
+  for (const daemonCount of daemonCounts) {
+    const cost = await measureControlCost(daemonCount);
+    costs.push(cost);
+    const figures = columns.map(({ getFigure }) => getFigure(cost));
+    console.log(formatRow(String(daemonCount), figures));
+  }
+  if (costs.length < 2) return;
+  const slopes = columns.map(({ getFigure }) => fitSlope(costs, getFigure));
+  console.log(formatRow("slope", slopes));
+}
+
+function sum(counts: ReadonlyMap<string, number>): number {
+  return [...counts.values()].reduce((total, count) => total + count, 0);
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0) / values.length;
+}
+
+if (process.argv[1] === fileURLToPath(import.meta.url)) await main();
--- a/src/services/ownership/coordinated_ownership.ts
+++ b/src/services/ownership/coordinated_ownership.ts
@@ -181,8 +181,13 @@
 
 function registerHandlers(services: ServiceLookup, state: ControlState): void {
   services.get(ServiceName.PeerServer).addService(OwnershipService, {
-    sync: (request) =>
-      encodeSyncAnswer(answerSync(state, decodeSyncReport(request))),
+    sync: (request) => {
+      const report = decodeSyncReport(
+        request,
+        (membersVersion) => state.record.tryGetMembers(membersVersion),
+      );
+      return encodeSyncAnswer(answerSync(state, report));
+    },
     promiseEpoch: ({ candidate, epoch }) => {
       const answer = answerPromise(state, {
         candidate: decodeDaemon(candidate),
--- a/src/services/ownership/member_record.ts
+++ b/src/services/ownership/member_record.ts
@@ -6,6 +6,9 @@
 import type { DaemonId, DaemonInfo } from "../../types/types.ts";
 import type { CoordinatorView, PromiseAnswer } from "./sync_messages.ts";
 
+/** Members lists remembered, so that reports from before a change count. */
+const rememberedListCount = 4;
+
 const unknownView: CoordinatorView = {
   epoch: 0,
   holderId: "",
@@ -16,6 +19,7 @@
 /** The member's side of the lease. */
 export class MemberRecord {
   #view = unknownView;
+  #recentViews: readonly CoordinatorView[] = [];
   #promisedEpoch = 0;
   #candidate: DaemonInfo | undefined;
   #tokenMs: number | undefined;
@@ -26,6 +30,12 @@
     return this.#view;
   }
 
+  /** A recent members list by its version. */
+  tryGetMembers(membersVersion: number): readonly DaemonInfo[] | undefined {
+    return this.#recentViews
+      .find((view) => view.membersVersion === membersVersion)?.members;
+  }
+
   /** The lowest epoch that this daemon may confirm. */
   promisedEpoch(): number {
     return this.#promisedEpoch;
@@ -54,6 +64,8 @@
       return false;
     }
     this.#view = view;
+    this.#recentViews = [view, ...this.#recentViews]
+      .slice(0, rememberedListCount);
     if (!isNewEpoch) return false;
     this.#tokenMs = undefined;
     this.#tokenReceivedAtMs = Number.NEGATIVE_INFINITY;
--- a/src/services/ownership/sync_client.ts
+++ b/src/services/ownership/sync_client.ts
@@ -27,7 +27,9 @@
     state.transport.connectTo(address),
   );
   return callWithin(state, async (signal) => {
-    const answer = await client.sync(encodeSyncReport(report), { signal });
+    const { members } = state.record.view();
+    const request = encodeSyncReport(report, members);
+    const answer = await client.sync(request, { signal });
     return decodeSyncAnswer(answer);
   });
 }
--- a/src/services/ownership/sync_codec.ts
+++ b/src/services/ownership/sync_codec.ts
@@ -1,4 +1,5 @@
 /** Translates control messages to and from their Connect encoding. */
+import { isDeepStrictEqual } from "node:util";
 import { create } from "@bufbuild/protobuf";
 import {
   type Announcement as AnnouncementMessage,
@@ -21,6 +22,7 @@
   encodeAssignmentRow,
 } from "./assignment_codec.ts";
 import type {
+  HeardDaemon,
   ReportedObservation,
   SyncAnswer,
   SyncReport,
@@ -41,10 +43,14 @@
   return { daemonId, address, dataCentre, isDraining };
 }
 
-/** Encodes a report. */
-export function encodeSyncReport(report: SyncReport): SyncRequest {
+/** Encodes a report whose `membersVersion` stands for `members`. */
+export function encodeSyncReport(
+  report: SyncReport,
+  members: readonly DaemonInfo[],
+): SyncRequest {
   return create(SyncRequestSchema, {
-    sender: encodeDaemon(report.sender),
+    senderId: report.senderId,
+    ...encodeHeard(report.heard, members),
     epoch: BigInt(report.epoch),
     membersVersion: BigInt(report.membersVersion),
     promisedEpoch: BigInt(report.promisedEpoch),
@@ -52,10 +58,6 @@
       service,
       version: BigInt(version),
     })),
-    heard: report.heard.map(({ daemon, tokenMs }) => ({
-      daemon: encodeDaemon(daemon),
-      tokenMs: tokenMs ?? 0,
-    })),
     releases: report.releases.map((release) => ({
       ...release,
       version: BigInt(release.version),
@@ -69,10 +71,18 @@
   });
 }
 
-/** Decodes a report. */
-export function decodeSyncReport(message: SyncRequest): SyncReport {
+/** Finds the members list of a version; undefined when it is not known. */
+export type MembersLookup = (
+  membersVersion: number,
+) => readonly DaemonInfo[] | undefined;
+
+/** Decodes a report; daemons that cannot be resolved are left out. */
+export function decodeSyncReport(
+  message: SyncRequest,
+  tryGetMembers: MembersLookup,
+): SyncReport {
   return {
-    sender: decodeDaemon(message.sender),
+    senderId: message.senderId,
     epoch: Number(message.epoch),
     membersVersion: Number(message.membersVersion),
     promisedEpoch: Number(message.promisedEpoch),
@@ -80,10 +90,10 @@
       service,
       version: Number(version),
     })),
-    heard: message.heard.map(({ daemon, tokenMs }) => ({
-      daemon: decodeDaemon(daemon),
-      tokenMs: tokenMs || undefined,
-    })),
+    heard: decodeHeard(
+      message,
+      tryGetMembers(Number(message.membersVersion)) ?? [],
+    ),
     releases: message.releases.map(({ daemonId, service, version }) => ({
       daemonId,
       service,
@@ -126,6 +136,49 @@
   };
 }
 
+/** Names members by their place; spells out only what the list does not show. */
+function encodeHeard(
+  heard: readonly HeardDaemon[],
+  members: readonly DaemonInfo[],
+) {
+  const places = new Map(members.map((m, index) => [m.daemonId, index]));
+  const findIndex = ({ daemon }: HeardDaemon) => {
+    const index = places.get(daemon.daemonId) ?? -1;
+    return isDeepStrictEqual(members[index], daemon) ? index : -1;
+  };
+  const short = heard.filter((entry) => findIndex(entry) >= 0);
+  const long = heard.filter((entry) => findIndex(entry) < 0);
+  const newestTokenMs = Math.max(0, ...short.map((e) => e.tokenMs ?? 0));
+  return {
+    heard: long.map(({ daemon, tokenMs }) => ({
+      daemon: encodeDaemon(daemon),
+      tokenMs: tokenMs ?? 0,
+    })),
+    newestTokenMs,
+    heardIndexes: short.map(findIndex),
+    heardTokenAges: short.map(({ tokenMs }) =>
+      tokenMs === undefined ? 0 : Math.ceil(newestTokenMs - tokenMs) + 1
+    ),
+  };
+}
+
+function decodeHeard(
+  message: SyncRequest,
+  members: readonly DaemonInfo[],
+): HeardDaemon[] {
+  const long = message.heard.map(({ daemon, tokenMs }) => ({
+    daemon: decodeDaemon(daemon),
+    tokenMs: tokenMs || undefined,
+  }));
+  const short = message.heardIndexes.flatMap((index, place) => {
+    const daemon = members[index];
+    const age = message.heardTokenAges[place] ?? 0;
+    const tokenMs = age === 0 ? undefined : message.newestTokenMs - age + 1;
+    return daemon === undefined ? [] : [{ daemon, tokenMs }];
+  });
+  return [...long, ...short];
+}
+
 function decodeObservation(message: Observation): ReportedObservation {
   const { service, serverId, completedCount, queuedCount } = message;
   return {
--- a/src/services/ownership/sync_handler.ts
+++ b/src/services/ownership/sync_handler.ts
@@ -58,7 +58,7 @@
 
 function givePermit(state: ControlState, report: SyncReport): GivenPermit {
   const nowMs = state.clock.nowMs();
-  const childId = report.sender.daemonId;
+  const childId = report.senderId;
   const coordinator = state.tryGetCoordinator();
   if (coordinator !== undefined) {
     coordinator.receive(report, nowMs);
--- a/src/services/ownership/sync_messages.ts
+++ b/src/services/ownership/sync_messages.ts
@@ -43,7 +43,7 @@
 
 /** A daemon's report to its parent. */
 export interface SyncReport {
-  readonly sender: DaemonInfo;
+  readonly senderId: DaemonId;
   readonly epoch: number;
   readonly membersVersion: number;
   /** The sender confirms no epoch below this one. */
--- a/src/services/ownership/sync_task.ts
+++ b/src/services/ownership/sync_task.ts
@@ -104,7 +104,7 @@
   const sender = state.membership.self();
   const tokenMs = state.record.confirmedTokenMs();
   return {
-    sender,
+    senderId: sender.daemonId,
     epoch: view.epoch,
     membersVersion: view.membersVersion,
     promisedEpoch: state.record.promisedEpoch(),
--- a/src/testing/fake_peers.ts
+++ b/src/testing/fake_peers.ts
@@ -3,7 +3,7 @@
  * are reached through Connect's router transport; forwarded requests go
  * straight to the peer's home. Links can be cut and daemons frozen or killed.
  */
-import type { DescService } from "@bufbuild/protobuf";
+import { create, type DescService, toBinary } from "@bufbuild/protobuf";
 import {
   Code,
   ConnectError,
@@ -44,6 +44,8 @@
   readonly #cutLinks = new Set<string>();
   /** Control calls made, by the caller's address. */
   readonly callCounts = new Map<string, number>();
+  /** Bytes of control messages sent and received, by address. */
+  readonly byteCounts = new Map<string, number>();
 
   /** Adds a daemon; a restarted daemon takes a new address. */
   addNode(address: string, clock: FreezableClock): FakePeerServer {
@@ -94,6 +96,13 @@
     return target;
   }
 
+  /** Adds the size of a message to both ends. */
+  countBytes(from: string, to: string, sizeBytes: number): void {
+    for (const end of [from, to]) {
+      this.byteCounts.set(end, (this.byteCounts.get(end) ?? 0) + sizeBytes);
+    }
+  }
+
   /** Waits while the receiving side of an answer is frozen. */
   async gate(address: string): Promise<void> {
     await this.#nodes.get(address)!.clock.gate();
@@ -160,6 +169,10 @@
           ).unary(method, signal, timeoutMs, header, input, contextValues);
           await network.reach(address, from);
           await network.gate(from);
+          const sizeBytes =
+            toBinary(method.input, create(method.input, input)).length +
+            toBinary(method.output, answer.message).length;
+          network.countBytes(from, address, sizeBytes);
           return answer;
         }),
       stream: () => {
