Keep control tasks alive on bad rows; let a resigned coordinator wait

A row that cannot be decoded ended the lease task; now it is logged and tried again. A coordinator that yielded to a challenge could claim the vacant lease before the others looked; now it waits 3 s.

--- a/src/services/ownership/control_options.ts
+++ b/src/services/ownership/control_options.ts
@@ -33,6 +33,8 @@
 export const firstAssignmentDelayMs = 600;
 /** Interval between two challenges of a daemon, and between two looks at them. */
 export const challengeIntervalMs = 400;
+/** Time for which a daemon that resigned does not claim the lease again. */
+export const yieldDurationMs = 3_000;
 /** Daemons, by rank among the members, that watch the lease row. */
 export const watcherCount = 3;
 /** Delay between the takeover attempts of two watchers. */
--- a/src/services/ownership/control_state.ts
+++ b/src/services/ownership/control_state.ts
@@ -47,6 +47,8 @@
   readonly decisions = new WakeSignal();
   /** Local instant of the last answer that extended the permit. */
   lastSyncAtMs = Number.NEGATIVE_INFINITY;
+  /** Local instant before which this daemon leaves the lease to others. */
+  yieldUntilMs = Number.NEGATIVE_INFINITY;
   inFlightSource: InFlightSource | undefined;
   #coordinator: Coordinator | undefined;
 
--- a/src/services/ownership/lease_task.ts
+++ b/src/services/ownership/lease_task.ts
@@ -9,12 +9,14 @@
   challengeIntervalMs,
   decisionIntervalMs,
   watchIntervalMs,
+  yieldDurationMs,
 } from "./control_options.ts";
 import type { ControlState } from "./control_state.ts";
 import type { Coordinator } from "./coordinator.ts";
 import { vacantHolderId } from "./coordinator_row.ts";
 import { CommitOutcome, type LeaseStore } from "./lease_store.ts";
 import { createReport } from "./sync_task.ts";
+import { guardStep } from "./step_guard.ts";
 import { Takeover } from "./takeover.ts";
 import { learnLease } from "./view_reader.ts";
 
@@ -50,13 +52,21 @@
       const coordinator = this.#state.tryGetCoordinator();
       if (coordinator === undefined) {
         this.#mustReload = true;
-        await this.#takeover.watchOnce(signal);
+        await guardStep(
+          this.#state,
+          "watch lease",
+          () => this.#takeover.watchOnce(signal),
+        );
         const hasLease = this.#state.tryGetCoordinator() !== undefined;
         if (!hasLease) await clock.sleep(watchIntervalMs, signal);
         continue;
       }
       const startedAtMs = clock.nowMs();
-      await this.#coordinateOnce(coordinator);
+      await guardStep(
+        this.#state,
+        "hold lease",
+        () => this.#coordinateOnce(coordinator),
+      );
       await decisions.sleep(clock, decisionIntervalMs, signal);
       this.#excusePause(coordinator, startedAtMs);
     }
@@ -198,6 +208,7 @@
   async #resign(cause: string): Promise<void> {
     const { epoch, membersVersion } = this.#state.record.view();
     this.#state.stopCoordinating(cause);
+    this.#state.yieldUntilMs = this.#state.clock.nowMs() + yieldDurationMs;
     await this.#store.commit({
       leaseVersion: this.#leaseVersion,
       lease: {
--- /dev/null
+++ b/src/services/ownership/sync_handler_test.ts
@@ -0,0 +1,127 @@
+import * as assert from "uvu/assert";
+import { Kernel } from "../../kernel/kernel.ts";
+import { SeededRandomSource } from "../../host/random_source.ts";
+import { describe, it } from "../../testing/describe.ts";
+import {
+  FakePeerNetwork,
+  FakePeerTransport,
+} from "../../testing/fake_peers.ts";
+import {
+  FakePlatform,
+  FakePlatformTable,
+  FakeVmDirectory,
+} from "../../testing/fake_platform.ts";
+import { FreezableClock } from "../../testing/freezable_clock.ts";
+import { MemoryLog } from "../../testing/test_fleet.ts";
+import { VirtualClock } from "../../testing/virtual_clock.ts";
+import type { DaemonInfo } from "../../types/types.ts";
+import { SyncedMembership } from "../membership/synced_membership.ts";
+import { StatsdMetrics } from "../metrics/statsd_metrics.ts";
+import { ControlState } from "./control_state.ts";
+import { createHashFunction } from "./key_hash.ts";
+import { LeastLoadedPlacement } from "./least_loaded_placement.ts";
+import { answerPromise, answerSync } from "./sync_handler.ts";
+import type { SyncReport } from "./sync_messages.ts";
+import { treeFanOut } from "./sync_tree.ts";
+
+const hash = await createHashFunction();
+const permitDurationMs = 1_800;
+
+function createMembers(count: number): DaemonInfo[] {
+  return Array.from({ length: count }, (_, index) => ({
+    daemonId: `daemon-${String(index).padStart(3, "0")}`,
+    address: `daemon-${index}:1`,
+    dataCentre: "dc-a",
+    isDraining: false,
+  }));
+}
+
+const members = createMembers(treeFanOut + 4);
+const holder = members[0]!;
+const parent = members[1]!;
+const child = members[treeFanOut + 2]!;
+
+/** The state of an inner daemon of the tree that follows epoch 4. */
+function createParentState(shared: VirtualClock): ControlState {
+  const clock = new FreezableClock(shared);
+  const caller = { daemonId: parent.daemonId, clock };
+  const network = new FakePeerNetwork();
+  const kernel = new Kernel()
+    .register(clock)
+    .register(new SeededRandomSource(1))
+    .register(new MemoryLog())
+    .register(new StatsdMetrics({ address: undefined, daemonId: "" }))
+    .register(new FakePlatformTable(new FakePlatform(), caller))
+    .register(new FakeVmDirectory())
+    .register(new FakePeerTransport(network, parent.address))
+    .register(new SyncedMembership(parent));
+  const state = new ControlState(kernel, {
+    hash,
+    options: {
+      region: "region",
+      definitions: [],
+      placement: new LeastLoadedPlacement(),
+      syncIntervalMs: 300,
+      permitDurationMs,
+      leaseDurationMs: 1_000,
+    },
+  });
+  state.learnView({
+    epoch: 4,
+    holderId: holder.daemonId,
+    membersVersion: 2,
+    members,
+  });
+  return state;
+}
+
+function createReport(parts: Partial<SyncReport> = {}): SyncReport {
+  return {
+    senderId: child.daemonId,
+    epoch: 4,
+    membersVersion: 2,
+    promisedEpoch: 0,
+    held: [],
+    heard: [{ daemon: child, tokenMs: 70 }],
+    releases: [],
+    observations: [],
+    announcements: [],
+    ...parts,
+  };
+}
+
+describe("sync handler of a parent", () => {
+  it("gives a child no longer permit than its own", async () => {
+    const clock = new VirtualClock();
+    const state = createParentState(clock);
+    await clock.advance(100);
+    state.permit.extend(100, 900);
+    await clock.advance(300);
+    assert.is(answerSync(state, createReport()).permitRemainingMs, 600);
+    await clock.advance(2_000);
+    assert.is(answerSync(state, createReport()).permitRemainingMs, 0);
+  });
+
+  it("gives no permit to a daemon that another serves", () => {
+    const state = createParentState(new VirtualClock());
+    state.permit.extend(0, permitDurationMs);
+    const report = createReport({ senderId: members[2]!.daemonId });
+    assert.is(answerSync(state, report).permitRemainingMs, 0);
+  });
+
+  it("passes confirmations of its own epoch on, and no others", () => {
+    const state = createParentState(new VirtualClock());
+    answerSync(state, createReport());
+    assert.is(state.relay.take().heard[0]!.tokenMs, 70);
+    answerSync(state, createReport({ epoch: 3 }));
+    assert.is(state.relay.take().heard[0]!.tokenMs, undefined);
+  });
+
+  it("passes no token on after it promised another epoch", () => {
+    const state = createParentState(new VirtualClock());
+    state.record.receiveToken(4, 50, 0);
+    assert.is(answerSync(state, createReport()).tokenMs, 50);
+    answerPromise(state, { candidate: members[3]!, epoch: 5 });
+    assert.is(answerSync(state, createReport()).tokenMs, undefined);
+  });
+});
--- a/src/services/ownership/sync_task.ts
+++ b/src/services/ownership/sync_task.ts
@@ -7,6 +7,7 @@
 import type { ControlState } from "./control_state.ts";
 import type { LeaseStore } from "./lease_store.ts";
 import type { RelayedReport } from "./report_relay.ts";
+import { guardStep } from "./step_guard.ts";
 import { trySync } from "./sync_client.ts";
 import type { SyncAnswer, SyncReport } from "./sync_messages.ts";
 import { isInnerNode, tryGetHolder, tryGetParent } from "./sync_tree.ts";
@@ -24,7 +25,9 @@
   signal: AbortSignal,
 ): Promise<void> {
   while (!signal.aborted) {
-    if (state.tryGetCoordinator() === undefined) await syncOnce(state, store);
+    if (state.tryGetCoordinator() === undefined) {
+      await guardStep(state, "sync", () => syncOnce(state, store));
+    }
     await state.urgent.sleep(state.clock, computeIntervalMs(state), signal);
   }
 }
--- a/src/services/ownership/takeover.ts
+++ b/src/services/ownership/takeover.ts
@@ -69,6 +69,7 @@
     if (this.#tryAdopt(read)) return;
     await learnLease(this.#state, { store: this.#store, read });
     if (this.#state.membership.self().isDraining) return;
+    if (this.#state.clock.nowMs() < this.#state.yieldUntilMs) return;
     const { lease } = read;
     if (lease === undefined || lease.holderId === vacantHolderId) {
       return await this.#claimVacant(read);
