--- a/bench/control_cost.ts
+++ b/bench/control_cost.ts
@@ -22,6 +22,8 @@
   readonly bytesPerDaemonSecond: number;
   /** Bytes that the coordinator sends and receives. */
   readonly coordinatorBytesPerSecond: number;
+  /** Bytes of the daemon that moves the most, the coordinator aside. */
+  readonly busiestBytesPerSecond: number;
   /** Reads of the table by the whole fleet. */
   readonly tableReadsPerSecond: number;
   /** Writes of the table by the whole fleet. */
@@ -40,14 +42,20 @@
   const before = {
     callCount: sum(network.callCounts),
     byteCount: sum(network.byteCounts),
-    coordinatorByteCount: network.byteCounts.get(coordinator) ?? 0,
+    byteCounts: new Map(network.byteCounts),
     readCount: platform.readCount,
     writeCount: platform.writeCount,
   };
   await fleet.clock.advance(measuredMs);
   const seconds = measuredMs / 1_000;
-  const coordinatorByteCount = network.byteCounts.get(coordinator) ?? 0;
   const perSecond = (count: number) => count / seconds;
+  const bytesOf = (address: string) =>
+    perSecond(
+      (network.byteCounts.get(address) ?? 0) -
+        (before.byteCounts.get(address) ?? 0),
+    );
+  const others = fleet.daemons.map(({ address }) => address)
+    .filter((address) => address !== coordinator);
   const cost: ControlCost = {
     daemonCount,
     callsPerDaemonSecond:
@@ -56,9 +64,8 @@
     bytesPerDaemonSecond:
       perSecond(sum(network.byteCounts) - before.byteCount) /
       daemonCount,
-    coordinatorBytesPerSecond: perSecond(
-      coordinatorByteCount - before.coordinatorByteCount,
-    ),
+    coordinatorBytesPerSecond: bytesOf(coordinator),
+    busiestBytesPerSecond: Math.max(...others.map(bytesOf)),
     tableReadsPerSecond: perSecond(platform.readCount - before.readCount),
     tableWritesPerSecond: perSecond(platform.writeCount - before.writeCount),
   };
@@ -89,6 +96,7 @@
   { title: "calls/daemon/s", getFigure: (c) => c.callsPerDaemonSecond },
   { title: "bytes/daemon/s", getFigure: (c) => c.bytesPerDaemonSecond },
   { title: "coord bytes/s", getFigure: (c) => c.coordinatorBytesPerSecond },
+  { title: "busiest other", getFigure: (c) => c.busiestBytesPerSecond },
   { title: "reads/s (fleet)", getFigure: (c) => c.tableReadsPerSecond },
   { title: "writes/s (fleet)", getFigure: (c) => c.tableWritesPerSecond },
 ];
