Place shards by minimum-move in the coordinator

Cause: the coordinator spread a server's rate evenly over its shards and let an eighth of the shards move at once; a placement by load would have overshot. Change: homes may report counts for each shard, which travel with the sync; the coordinator smooths them for each service; the placement receives the hash with its input; MinimumMovePlacement replaces LeastLoadedPlacement; one shard of 256 may move a second.

--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -73,11 +73,11 @@
 /** The placement that daemons run. */
 const defaultPlacementName = "minimum move";
 
-function createPlacements(hash: HashFunction): ReadonlyMap<string, Placement> {
+function createPlacements(): ReadonlyMap<string, Placement> {
   return new Map<string, Placement>([
-    ["rendezvous", new RendezvousPlacement({ hash })],
-    ["bounded load", new BoundedLoadPlacement({ hash })],
-    [defaultPlacementName, new MinimumMovePlacement({ hash })],
+    ["rendezvous", new RendezvousPlacement()],
+    ["bounded load", new BoundedLoadPlacement()],
+    [defaultPlacementName, new MinimumMovePlacement()],
   ]);
 }
 
@@ -94,7 +94,7 @@
   ): Promise<readonly Figure[]> {
     const hash = await createHashFunction();
     return workloads.flatMap((workload) =>
-      compareOn(workload, createPlacements(hash), { hash, print })
+      compareOn(workload, createPlacements(), { hash, print })
     );
   }
 }
--- a/bench/placement_model.ts
+++ b/bench/placement_model.ts
@@ -206,6 +206,7 @@
   #plan(atMs: number): void {
     const moves = this.#placement.plan({
       definition: this.#service,
+      hash: this.#hash,
       servers: this.#servers.map((serverId) => ({
         serverId,
         dataCentre: "",
--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -19,7 +19,7 @@
 import { StatsdMetrics } from "../services/metrics/statsd_metrics.ts";
 import { ConnectOperator } from "../services/operator/connect_operator.ts";
 import { CoordinatedOwnership } from "../services/ownership/coordinated_ownership.ts";
-import { LeastLoadedPlacement } from "../services/ownership/least_loaded_placement.ts";
+import { MinimumMovePlacement } from "../services/ownership/placement_minimum_move.ts";
 import { HttpPeerServer } from "../services/peers/http_peer_server.ts";
 import { HttpPeerTransport } from "../services/peers/http_peer_transport.ts";
 import type { Settings } from "./settings.ts";
@@ -113,7 +113,7 @@
       new CoordinatedOwnership({
         region: settings.region,
         definitions: settings.services,
-        placement: new LeastLoadedPlacement(),
+        placement: new MinimumMovePlacement(),
         syncIntervalMs: settings.ownershipIntervalMs,
         permitDurationMs: settings.permitDurationMs,
         leaseDurationMs: settings.leaseDurationMs,
--- a/src/services/ownership/coordinator.ts
+++ b/src/services/ownership/coordinator.ts
@@ -21,7 +21,9 @@
 import { FleetView } from "./fleet_view.ts";
 import { HomeChooser, type HomeLoads } from "./home_assignment.ts";
 import { planMoves } from "./move_planner.ts";
+import { computeShard } from "./key_hash.ts";
 import { PermitLedger } from "./permit_ledger.ts";
+import { ServiceRates } from "./placement_service_rates.ts";
 import type { SyncReport } from "./sync_messages.ts";
 import { tryGetParent } from "./sync_tree.ts";
 
@@ -39,10 +41,11 @@
 /** Decides for the region. */
 export class Coordinator {
   readonly authority: Authority;
-  readonly fleet = new FleetView();
+  readonly fleet: FleetView;
   readonly #state: ControlState;
   readonly #ledger: PermitLedger;
   readonly #origin: LeaseOrigin;
+  readonly #rates: ReadonlyMap<string, ServiceRates>;
   readonly #handedOutAtMs = new Map<string, number>();
   #highestPromise = 0;
   #rebalancedAtMs: number;
@@ -53,6 +56,8 @@
     this.#state = state;
     this.#origin = origin;
     this.#rebalancedAtMs = origin.takenAtMs;
+    this.#rates = createRates(state, origin.takenAtMs);
+    this.fleet = new FleetView(this.#rates);
     this.authority = new Authority(state.selfId(), leaseDurationMs);
     this.#ledger = new PermitLedger({
       permitDurationMs,
@@ -196,7 +201,10 @@
       serverCount: servers.length,
     });
     const mayRebalance = nowMs - this.#rebalancedAtMs >= rebalanceIntervalMs;
-    if (mayRebalance) this.#rebalancedAtMs = nowMs;
+    if (mayRebalance) {
+      this.#rebalancedAtMs = nowMs;
+      for (const rates of this.#rates.values()) rates.update(nowMs);
+    }
     const { options, book, clock, random, hash } = this.#state;
     return options.definitions.flatMap((definition) =>
       planMoves({
@@ -205,6 +213,7 @@
         homes,
         mayRebalance,
         placement: options.placement,
+        rates: this.#rates.get(definition.name)!,
         row: book.tryGet(definition.name),
         listedServers: servers.filter((vm) => vm.service === definition.name),
         tryGetFigures: (serverId: ServerId) =>
@@ -293,3 +302,16 @@
     }
   }
 }
+
+function createRates(
+  { options, hash }: ControlState,
+  nowMs: number,
+): ReadonlyMap<string, ServiceRates> {
+  return new Map(options.definitions.map((definition) => [
+    definition.name,
+    new ServiceRates(nowMs, {
+      shardCount: definition.shardCount,
+      shardOf: (key) => computeShard(hash, key, definition),
+    }),
+  ]));
+}
--- a/src/services/ownership/fleet_view.ts
+++ b/src/services/ownership/fleet_view.ts
@@ -5,6 +5,7 @@
 import type { BackendServerState } from "../../types/enums.ts";
 import type { DaemonId, DaemonInfo, ServerId } from "../../types/types.ts";
 import type { KeyRate, ServerObservation } from "./ownership.ts";
+import type { ServiceRates } from "./placement_service_rates.ts";
 import type { RelayedReport } from "./report_relay.ts";
 import type { HeardDaemon, ReleaseReport } from "./sync_messages.ts";
 
@@ -29,6 +30,12 @@
   readonly #daemons = new Map<DaemonId, DaemonFigures>();
   readonly #releases = new Map<string, number>();
   readonly #servers = new Map<ServerId, ServerFigures>();
+  readonly #rates: ReadonlyMap<string, ServiceRates>;
+
+  /** `rates` gather what is observed of each service. */
+  constructor(rates: ReadonlyMap<string, ServiceRates>) {
+    this.#rates = rates;
+  }
 
   /** Notes that a daemon was heard, or assumes it at a given instant. */
   hear(daemon: DaemonInfo, heardAtMs: number): void {
@@ -80,6 +87,7 @@
     for (const serverId of this.#servers.keys()) {
       if (!serverIds.has(serverId)) this.#servers.delete(serverId);
     }
+    for (const rates of this.#rates.values()) rates.retainServers(serverIds);
   }
 
   #release({ daemonId, service, version }: ReleaseReport): void {
@@ -89,6 +97,7 @@
   }
 
   #observe(observation: ServerObservation, nowMs: number): void {
+    this.#rates.get(observation.service)?.record(observation);
     const known = this.#servers.get(observation.serverId);
     const elapsedMs = nowMs - (known?.observedAtMs ?? nowMs);
     const before = known?.requestsPerSecond ?? 0;
--- a/src/services/ownership/ownership.ts
+++ b/src/services/ownership/ownership.ts
@@ -34,6 +34,14 @@
   readonly queuedCount: number;
   /** The most requested keys, with their rates. */
   readonly hotKeys: readonly KeyRate[];
+  /** Requests completed in the reporting interval, for each shard with any. */
+  readonly shardCounts?: readonly ShardCount[];
+}
+
+/** Requests of one shard in a reporting interval. */
+export interface ShardCount {
+  readonly shard: number;
+  readonly completedCount: number;
 }
 
 /** The request rate of one key. */
--- a/src/services/ownership/placement.ts
+++ b/src/services/ownership/placement.ts
@@ -5,6 +5,7 @@
  */
 import type { MoveReason } from "../../types/enums.ts";
 import type { ServerId, ServiceDefinition } from "../../types/types.ts";
+import type { HashFunction } from "./key_hash.ts";
 import type { KeyRate } from "./ownership.ts";
 
 /** A backend server that may own shards. */
@@ -18,6 +19,8 @@
 /** Everything a placement may look at. */
 export interface PlacementInput {
   readonly definition: ServiceDefinition;
+  /** Equal on every daemon; shards of keys are computed with it. */
+  readonly hash: HashFunction;
   /** Servers that may own shards, ordered by identifier. */
   readonly servers: readonly PlacementServer[];
   /** Present owner of each shard; undefined when it has none. */
--- a/src/services/ownership/placement_bounded_load.ts
+++ b/src/services/ownership/placement_bounded_load.ts
@@ -14,7 +14,9 @@
 export class BoundedLoadPlacement extends TargetPlacement {
   readonly #slackShare: number;
 
-  constructor(options: PlacementOptions & { readonly slackShare?: number }) {
+  constructor(
+    options: PlacementOptions & { readonly slackShare?: number } = {},
+  ) {
     super(options);
     this.#slackShare = options.slackShare ?? defaultSlackShare;
   }
@@ -43,7 +45,7 @@
     readonly cap: number;
   }): ServerId | undefined {
     const loadOf = (serverId: ServerId) => loads.get(serverId) ?? 0;
-    const ranked = rankServers(this.hash, { shard, servers });
+    const ranked = rankServers(draft.input.hash, { shard, servers });
     const rate = draft.shardRate(shard);
     return ranked.find((serverId) => loadOf(serverId) + rate <= cap) ??
       ranked.toSorted((a, b) => loadOf(a) - loadOf(b))[0];
--- a/src/services/ownership/placement_draft.ts
+++ b/src/services/ownership/placement_draft.ts
@@ -4,7 +4,7 @@
  */
 import { MoveReason } from "../../types/enums.ts";
 import type { ServerId } from "../../types/types.ts";
-import { computeShard, type HashFunction } from "./key_hash.ts";
+import { computeShard } from "./key_hash.ts";
 import type {
   PlacementInput,
   PlacementServer,
@@ -25,7 +25,6 @@
 /** Owners, loads and moves while a placement decides. */
 export class PlacementDraft {
   readonly input: PlacementInput;
-  readonly #hash: HashFunction;
   readonly #serverById: ReadonlyMap<ServerId, PlacementServer>;
   readonly #hotRates: ReadonlyMap<string, number>;
   readonly #owners: (ServerId | undefined)[];
@@ -36,9 +35,8 @@
   readonly #reasons = new Map<number | string, MoveReason>();
   #remainingMoves: number;
 
-  constructor(input: PlacementInput, hash: HashFunction) {
+  constructor(input: PlacementInput) {
     this.input = input;
-    this.#hash = hash;
     this.#serverById = new Map(input.servers.map((s) => [s.serverId, s]));
     this.#hotRates = new Map(
       input.hotKeys.map(({ key, requestsPerSecond }) => [
@@ -131,7 +129,7 @@
 
   /** The shard of a key. */
   shardOf(key: string): number {
-    return computeShard(this.#hash, key, this.input.definition);
+    return computeShard(this.input.hash, key, this.input.definition);
   }
 
   /** Servers that accept moves, the least loaded first. */
--- a/src/services/ownership/placement_minimum_move.ts
+++ b/src/services/ownership/placement_minimum_move.ts
@@ -6,7 +6,6 @@
  */
 import type { ServerId } from "../../types/types.ts";
 import { HotKeyPlanner } from "./hot_key_planner.ts";
-import type { HashFunction } from "./key_hash.ts";
 import {
   Placement,
   type PlacementInput,
@@ -34,17 +33,15 @@
 
 /** Rebalances with the fewest moves. */
 export class MinimumMovePlacement extends Placement {
-  readonly #hash: HashFunction;
   readonly #hotKeys: HotKeyPlanner;
 
-  constructor({ hash, hotKeys = new HotKeyPlanner() }: PlacementOptions) {
+  constructor({ hotKeys = new HotKeyPlanner() }: PlacementOptions = {}) {
     super();
-    this.#hash = hash;
     this.#hotKeys = hotKeys;
   }
 
   override plan(input: PlacementInput): readonly PlannedMove[] {
-    const draft = new PlacementDraft(input, this.#hash);
+    const draft = new PlacementDraft(input);
     assignOrphans(draft);
     this.#hotKeys.plan(draft);
     rebalance(draft);
--- a/src/services/ownership/placement_rates_test.ts
+++ b/src/services/ownership/placement_rates_test.ts
@@ -1,7 +1,10 @@
 import * as assert from "uvu/assert";
 import { describe, it } from "../../testing/describe.ts";
+import { BackendServerState } from "../../types/enums.ts";
 import { computeMovesPerSecond, MoveBudget } from "./placement_budget.ts";
+import type { ServerObservation } from "./ownership.ts";
 import { RateEstimator, type RateSample } from "./placement_rates.ts";
+import { ServiceRates } from "./placement_service_rates.ts";
 
 const intervalMs = 1_000;
 
@@ -58,3 +61,43 @@
     assert.is(computeMovesPerSecond(65_536), 256);
   });
 });
+
+describe("ServiceRates", () => {
+  const shardOf = (key: string) => key === "hot" ? 0 : 1;
+
+  function createObservation(
+    serverId: string,
+    parts: Partial<ServerObservation>,
+  ): ServerObservation {
+    return {
+      service: "roster",
+      serverId,
+      state: BackendServerState.Live,
+      completedCount: 0,
+      queuedCount: 0,
+      hotKeys: [],
+      ...parts,
+    };
+  }
+
+  it("adds up the shards that homes counted between two plans", () => {
+    const rates = new ServiceRates(0, { shardCount: 2, shardOf });
+    const counted = [{ shard: 1, completedCount: 30 }];
+    rates.record(createObservation("server-0", { shardCounts: counted }));
+    rates.record(createObservation("server-1", { shardCounts: counted }));
+    rates.update(intervalMs);
+    assert.equal(rates.shardRates().map(Math.round), [0, 60]);
+  });
+
+  it("counts a key once that two servers report during its move", () => {
+    const rates = new ServiceRates(0, { shardCount: 2, shardOf });
+    const hotKeys = [{ key: "hot", requestsPerSecond: 40 }];
+    rates.record(createObservation("server-0", { hotKeys }));
+    rates.record(createObservation("server-1", { hotKeys }));
+    rates.update(intervalMs);
+    assert.equal(rates.hotKeys(), hotKeys);
+    rates.retainServers(new Set());
+    for (let i = 2; i < 60; i++) rates.update(i * intervalMs);
+    assert.equal(rates.hotKeys(), []);
+  });
+});
--- a/src/services/ownership/placement_rendezvous.ts
+++ b/src/services/ownership/placement_rendezvous.ts
@@ -17,7 +17,7 @@
     return draft.input.shardOwners.map((owner, shard) =>
       keepsOwner(draft, owner)
         ? owner
-        : rankServers(this.hash, { shard, servers })[0]
+        : rankServers(draft.input.hash, { shard, servers })[0]
     );
   }
 }
--- a/src/services/ownership/placement_target.ts
+++ b/src/services/ownership/placement_target.ts
@@ -4,7 +4,6 @@
  */
 import type { ServerId } from "../../types/types.ts";
 import { HotKeyPlanner } from "./hot_key_planner.ts";
-import type { HashFunction } from "./key_hash.ts";
 import {
   Placement,
   type PlacementInput,
@@ -12,25 +11,22 @@
 } from "./placement.ts";
 import { orphanReason, PlacementDraft } from "./placement_draft.ts";
 
-/** What every placement is built from. */
+/** What a placement is built from. */
 export interface PlacementOptions {
-  readonly hash: HashFunction;
   readonly hotKeys?: HotKeyPlanner;
 }
 
 /** Moves each shard to the owner that the subclass wants for it. */
 export abstract class TargetPlacement extends Placement {
-  protected readonly hash: HashFunction;
   readonly #hotKeys: HotKeyPlanner;
 
-  constructor({ hash, hotKeys = new HotKeyPlanner() }: PlacementOptions) {
+  constructor({ hotKeys = new HotKeyPlanner() }: PlacementOptions = {}) {
     super();
-    this.hash = hash;
     this.#hotKeys = hotKeys;
   }
 
   override plan(input: PlacementInput): readonly PlannedMove[] {
-    const draft = new PlacementDraft(input, this.hash);
+    const draft = new PlacementDraft(input);
     const targets = this.computeTargets(draft);
     moveOrphans(draft, targets);
     this.#hotKeys.plan(draft);
--- a/src/services/ownership/placement_test.ts
+++ b/src/services/ownership/placement_test.ts
@@ -11,10 +11,10 @@
 import { RendezvousPlacement } from "./placement_rendezvous.ts";
 
 const hash = await createHashFunction();
-const minimumMove = new MinimumMovePlacement({ hash });
+const minimumMove = new MinimumMovePlacement();
 const placements = new Map<string, Placement>([
-  ["rendezvous", new RendezvousPlacement({ hash })],
-  ["bounded load", new BoundedLoadPlacement({ hash })],
+  ["rendezvous", new RendezvousPlacement()],
+  ["bounded load", new BoundedLoadPlacement()],
   ["minimum move", minimumMove],
 ]);
 const runs = { seed: 20_261, numRuns: 60 };
@@ -48,6 +48,7 @@
   input(moveBudget: number): PlacementInput {
     return {
       definition: this.definition,
+      hash,
       servers: this.servers.map((serverId) => ({
         serverId,
         dataCentre: "dc-a",
--- a/src/services/ownership/report_relay.ts
+++ b/src/services/ownership/report_relay.ts
@@ -3,7 +3,7 @@
  * it to the parent. The newest report of each subject replaces older ones.
  */
 import type { DaemonId } from "../../types/types.ts";
-import type { ServerObservation } from "./ownership.ts";
+import type { ServerObservation, ShardCount } from "./ownership.ts";
 import type {
   HeardDaemon,
   ReleaseReport,
@@ -74,5 +74,20 @@
     ...later,
     completedCount: earlier.completedCount + later.completedCount,
     hotKeys: later.hotKeys.length > 0 ? later.hotKeys : earlier.hotKeys,
+    shardCounts: mergeShardCounts(earlier.shardCounts, later.shardCounts),
   };
 }
+
+function mergeShardCounts(
+  earlier: readonly ShardCount[] = [],
+  later: readonly ShardCount[] = [],
+): readonly ShardCount[] {
+  const counts = new Map<number, number>();
+  for (const { shard, completedCount } of [...earlier, ...later]) {
+    counts.set(shard, (counts.get(shard) ?? 0) + completedCount);
+  }
+  return [...counts].map(([shard, completedCount]) => ({
+    shard,
+    completedCount,
+  }));
+}
--- a/src/services/ownership/shard_planner.ts
+++ b/src/services/ownership/shard_planner.ts
@@ -8,19 +8,18 @@
 } from "./assignment_codec.ts";
 import type { ServerFigures } from "./fleet_view.ts";
 import { computeShard, type HashFunction } from "./key_hash.ts";
-import type { KeyRate } from "./ownership.ts";
 import type { Placement, PlacementInput, PlannedMove } from "./placement.ts";
+import { computeMovesPerSecond } from "./placement_budget.ts";
+import type { ServiceRates } from "./placement_service_rates.ts";
 import type { MoveCause, RowDraft } from "./row_draft.ts";
 import { isUsable } from "./server_states.ts";
 
-/** Share of a service's shards that may be in motion for balance. */
-const maxMovingShare = 0.125;
-
 /** What the planning of shards looks at. */
 export interface ShardPlanInput {
   readonly definition: ServiceDefinition;
   readonly placement: Placement;
   readonly hash: HashFunction;
+  readonly rates: ServiceRates;
   readonly tryGetFigures: (serverId: ServerId) => ServerFigures | undefined;
   /** Whether shards with a usable owner may move. */
   readonly mayRebalance: boolean;
@@ -151,52 +150,30 @@
   const servers = [...draft.servers.values()]
     .filter((server) => isUsable(server.state))
     .sort((a, b) => a.serverId < b.serverId ? -1 : 1);
-  const budget = Math.ceil(input.definition.shardCount * maxMovingShare);
+  const budget = Math.floor(
+    computeMovesPerSecond(input.definition.shardCount),
+  );
   const movingCount = listMoving(draft).size;
   return {
     definition: input.definition,
+    hash: input.hash,
     servers: servers.map(({ serverId, dataCentre }) => ({
       serverId,
       dataCentre,
       acceptsMoves: true,
     })),
     shardOwners: draft.owners,
-    shardRates: computeShardRates(draft, input),
+    shardRates: input.rates.shardRates(),
     overrides: new Map(
       [...draft.overrides]
         .filter(([, { serverId }]) => serverId !== noServerId)
         .map(([key, { serverId }]) => [key, serverId]),
     ),
-    hotKeys: listHotKeys(draft, input),
+    hotKeys: input.rates.hotKeys(),
     moveBudget: input.mayRebalance ? Math.max(0, budget - movingCount) : 0,
   };
 }
 
-/** Spreads the observed rate of each server evenly over its shards. */
-function computeShardRates(
-  draft: RowDraft,
-  { tryGetFigures }: ShardPlanInput,
-): readonly number[] {
-  const counts = new Map<ServerId, number>();
-  for (const owner of draft.owners) {
-    if (owner !== undefined) counts.set(owner, (counts.get(owner) ?? 0) + 1);
-  }
-  return draft.owners.map((owner) => {
-    if (owner === undefined) return 0;
-    const rate = tryGetFigures(owner)?.requestsPerSecond ?? 0;
-    return rate / counts.get(owner)!;
-  });
-}
-
-function listHotKeys(
-  draft: RowDraft,
-  { tryGetFigures }: ShardPlanInput,
-): readonly KeyRate[] {
-  return [...draft.servers.keys()]
-    .flatMap((serverId) => tryGetFigures(serverId)?.hotKeys ?? [])
-    .sort((a, b) => b.requestsPerSecond - a.requestsPerSecond);
-}
-
 function listShardsOf(draft: RowDraft, serverId: ServerId): readonly number[] {
   return [...draft.owners.keys()]
     .filter((shard) => draft.owners[shard] === serverId);
--- a/src/services/ownership/sync_codec.ts
+++ b/src/services/ownership/sync_codec.ts
@@ -64,6 +64,10 @@
       observerId,
       ...observation,
       hotKeys: observation.hotKeys.map((hotKey) => ({ ...hotKey })),
+      shards: observation.shardCounts?.map(({ shard }) => shard) ?? [],
+      shardCompletedCounts: observation.shardCounts?.map((counted) =>
+        counted.completedCount
+      ) ?? [],
     })),
     announcements: report.announcements.map(encodeAnnouncement),
   });
@@ -140,6 +144,10 @@
         key,
         requestsPerSecond,
       })),
+      shardCounts: message.shards.map((shard, index) => ({
+        shard,
+        completedCount: message.shardCompletedCounts[index] ?? 0,
+      })),
     },
   };
 }
