Replay traces on the real services in one process on virtual time

Change: npm run replay runs a trace on a test fleet with several services; a monitor counts churn and unavailable time from assignments and permits; the outcome and invariant checkers read the servers' logs.

--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -1,4 +1,5 @@
 /** What every bench has in common: figures with bounds and a verdict. */
+import { formatNumber } from "../src/plots/text_table.ts";
 
 /** On which side of its bound a figure must lie. */
 export enum BoundKind {
@@ -49,24 +50,3 @@
   const verdict = isWithinBound(figure) ? "pass" : "FAIL";
   return `${shown} (${bound.kind} ${formatNumber(bound.value)}): ${verdict}`;
 }
-
-/** At most three digits after the point. */
-export function formatNumber(value: number): string {
-  return Number.isInteger(value) ? String(value) : value.toFixed(3);
-}
-
-/** Renders rows in aligned columns; the first row is the heading. */
-export function formatTable(
-  rows: readonly (readonly string[])[],
-): readonly string[] {
-  const widths = rows[0]!.map((_, column) =>
-    Math.max(...rows.map((row) => row[column]!.length))
-  );
-  return rows.map((row) =>
-    row.map((cell, column) =>
-      column === 0
-        ? cell.padEnd(widths[column]!)
-        : cell.padStart(widths[column]!)
-    ).join("  ")
-  );
-}
--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -15,7 +15,8 @@
 import { LimaDawn } from "../src/traces/lima_dawn.ts";
 import { PuddlewatchStorm } from "../src/traces/puddlewatch_storm.ts";
 import type { TraceScenario } from "../src/traces/trace_scenario.ts";
-import { Bench, BoundKind, type Figure, formatTable } from "./bench.ts";
+import { formatTable } from "../src/plots/text_table.ts";
+import { Bench, BoundKind, type Figure } from "./bench.ts";
 import {
   measurePlacement,
   type MoveModel,
--- a/src/proof/caller_load.ts
+++ b/src/proof/caller_load.ts
@@ -76,7 +76,11 @@
       idempotencyKey: `confirmation-${caller.index}`,
       deadlineAtMs: fleet.clock.nowMs() + options.deadlineMs,
     });
-    const attempt = await send(fleet, request, caller.daemonIndex + repeat);
+    const attempt = await sendAsCaller(
+      fleet,
+      request,
+      caller.daemonIndex + repeat,
+    );
     caller.attempts.push(attempt);
     if (attempt.outcome === AttemptOutcome.Answered) return;
   }
@@ -91,11 +95,11 @@
     key: caller.key,
     deadlineAtMs: fleet.clock.nowMs() + options.deadlineMs,
   });
-  caller.attempts.push(await send(fleet, request, caller.daemonIndex));
+  caller.attempts.push(await sendAsCaller(fleet, request, caller.daemonIndex));
 }
 
 /** Sends one request; gives up waiting a little after its deadline. */
-async function send(
+export async function sendAsCaller(
   fleet: TestFleet,
   request: RoutedRequest,
   daemonIndex: number,
--- a/src/testing/freezable_clock.ts
+++ b/src/testing/freezable_clock.ts
@@ -45,6 +45,11 @@
     };
   }
 
+  /** Whether the owner stands still. */
+  isFrozen(): boolean {
+    return this.#thawed !== undefined;
+  }
+
   /** Stops the owner until `thaw`. */
   freeze(): void {
     this.#thawed ??= new Promise((resolve) => this.#resolveThawed = resolve);
--- a/src/testing/test_fleet.ts
+++ b/src/testing/test_fleet.ts
@@ -115,14 +115,25 @@
     await this.clock.advance(settleMs);
   }
 
-  /** Adds a backend server and shows it in every list of VMs. */
-  addServer(): string {
+  /**
+   * Adds a backend server and shows it in every list of VMs. Without options
+   * it serves the fleet's own service.
+   */
+  addServer(
+    options: {
+      readonly serverId?: string;
+      readonly definition?: ServiceDefinition;
+      readonly behaviour?: Partial<FakeServerBehaviour>;
+    } = {},
+  ): string {
     const index = this.backends.servers.size;
-    const serverId = `server-${index}`;
+    const serverId = options.serverId ?? `server-${index}`;
+    const definition = options.definition ?? this.definition;
     this.backends.addServer(serverId, this.clock, {
-      isFenceChecked: this.definition.fencingMode === FencingMode.Checked,
-      slotCount: this.definition.slotsPerServer,
+      isFenceChecked: definition.fencingMode === FencingMode.Checked,
+      slotCount: definition.slotsPerServer,
       ...this.#options.serverBehaviour,
+      ...options.behaviour,
     });
     this.putVm({
       vmId: serverId,
@@ -130,7 +141,7 @@
       state: VmState.Live,
       address: serverId,
       dataCentre: dataCentres[index % dataCentres.length]!,
-      service: this.definition.name,
+      service: definition.name,
     });
     return serverId;
   }
--- /dev/null
+++ b/src/traces/replay_report.ts
@@ -0,0 +1,100 @@
+/** What a replay showed: outcomes, broken invariants, the three measures. */
+import { findOutcomeViolations } from "../proof/outcome_checker.ts";
+import type { FakeExecution } from "../testing/fake_backend.ts";
+import { findViolations } from "../testing/invariant_checker.ts";
+import { AttemptOutcome } from "../types/enums.ts";
+import type {
+  OwnershipFigures,
+  OwnershipMonitor,
+} from "./ownership_monitor.ts";
+import type { ReplayedRequest, TraceReplayer } from "./trace_replayer.ts";
+import type { TraceHeader, TraceService } from "./trace_schema.ts";
+
+/** One service during a replay. */
+export interface ServiceReport extends OwnershipFigures {
+  readonly service: string;
+  readonly requestCount: number;
+  readonly answeredCount: number;
+  readonly firstAttemptAnsweredCount: number;
+  /** Longest time from the first attempt to the answer. */
+  readonly longestAnswerMs: number;
+  /** Busiest server over the best possible, for the whole replay. */
+  readonly imbalance: number;
+}
+
+/** A whole replay. */
+export interface ReplayReport {
+  readonly services: readonly ServiceReport[];
+  /** Broken invariants, one line each. */
+  readonly violations: readonly string[];
+  readonly longestListEditMs: number;
+}
+
+/** Builds the report from what the callers, servers and monitor recorded. */
+export function createReplayReport(
+  header: TraceHeader,
+  { replayer, monitor, executions }: {
+    readonly replayer: TraceReplayer;
+    readonly monitor: OwnershipMonitor;
+    readonly executions: readonly FakeExecution[];
+  },
+): ReplayReport {
+  const attempts = replayer.requests.flatMap((r) => r.attempts);
+  return {
+    services: header.services.map((service) => ({
+      service: service.name,
+      ...countOutcomes(
+        replayer.requests.filter((r) => r.request.service === service.name),
+      ),
+      imbalance: computeImbalance(service, executions),
+      ...monitor.figures(service.name),
+    })),
+    violations: [
+      ...findViolations(executions).map(({ kind, subject, earlier, later }) =>
+        `${kind} ${subject}: ${earlier.serverId} at ${earlier.startedAtMs} ms, ` +
+        `${later.serverId} at ${later.startedAtMs} ms`
+      ),
+      ...findOutcomeViolations(attempts, executions),
+    ],
+    longestListEditMs: Math.max(0, ...replayer.listEditDurationsMs),
+  };
+}
+
+function countOutcomes(requests: readonly ReplayedRequest[]) {
+  let answeredCount = 0;
+  let firstAttemptAnsweredCount = 0;
+  let longestAnswerMs = 0;
+  for (const { attempts } of requests) {
+    const last = attempts.at(-1);
+    if (last?.outcome !== AttemptOutcome.Answered) continue;
+    answeredCount += 1;
+    if (attempts.length === 1) firstAttemptAnsweredCount += 1;
+    longestAnswerMs = Math.max(
+      longestAnswerMs,
+      last.finishedAtMs - attempts[0]!.startedAtMs,
+    );
+  }
+  return {
+    requestCount: requests.length,
+    answeredCount,
+    firstAttemptAnsweredCount,
+    longestAnswerMs,
+  };
+}
+
+function computeImbalance(
+  service: TraceService,
+  executions: readonly FakeExecution[],
+): number {
+  const byServer = new Map<string, number>();
+  const byKey = new Map<string, number>();
+  for (const { serverId, key, service: name } of executions) {
+    if (name !== service.name) continue;
+    byServer.set(serverId, (byServer.get(serverId) ?? 0) + 1);
+    byKey.set(key, (byKey.get(key) ?? 0) + 1);
+  }
+  const counts = [...byServer.values()];
+  const total = counts.reduce((sum, count) => sum + count, 0);
+  const bound = Math.max(total / service.serverCount, ...byKey.values());
+  return Math.max(...counts) / bound;
+}
--- /dev/null
+++ b/src/traces/replay_trace.ts
@@ -0,0 +1,38 @@
+/** Replays a trace from start to end and reports on it. */
+import { createHashFunction } from "../services/ownership/key_hash.ts";
+import { OwnershipMonitor } from "./ownership_monitor.ts";
+import { createReplayReport, type ReplayReport } from "./replay_report.ts";
+import { startTraceFleet } from "./trace_fleet.ts";
+import { TraceReplayer } from "./trace_replayer.ts";
+import type { Trace } from "./trace_schema.ts";
+
+const stepMs = 250;
+
+/**
+ * Runs the trace on virtual time. `onProgress` receives the elapsed virtual
+ * time. Throws when an event of the trace cannot be carried out.
+ */
+export async function replayTrace(
+  trace: Trace,
+  onProgress: (elapsedMs: number) => void = () => {},
+): Promise<ReplayReport> {
+  const fleet = await startTraceFleet(trace.header);
+  const hash = await createHashFunction();
+  const monitor = new OwnershipMonitor(fleet, trace.header, hash);
+  const replayer = new TraceReplayer(trace, fleet);
+  const watching = monitor.run();
+  const startedAtMs = fleet.clock.nowMs();
+  let isEnded = false;
+  const replayed = replayer.run().finally(() => isEnded = true);
+  replayed.catch(() => {});
+  while (!isEnded) {
+    await fleet.clock.advance(stepMs);
+    onProgress(fleet.clock.nowMs() - startedAtMs);
+  }
+  await replayed;
+  monitor.stop();
+  await watching;
+  const executions = fleet.backends.executions();
+  await fleet.stop();
+  return createReplayReport(trace.header, { replayer, monitor, executions });
+}
