--- /dev/null
+++ b/scripts/open_loop_load.ts
@@ -0,0 +1,192 @@
+/**
+ * Open-loop load: requests start at the instants of a Poisson process, whether
+ * or not earlier ones were answered. Latency counts from the scheduled
+ * instant, so that a slow answer or a late start is never hidden.
+ */
+import { build, type Histogram } from "hdr-histogram-js";
+import type { Clock } from "../src/host/clock.ts";
+import type { RandomSource } from "../src/host/random_source.ts";
+
+/** What became of one request, as its caller saw it. */
+export enum LoadOutcome {
+  Answered = "answered",
+  Refused = "refused",
+  Failed = "failed",
+}
+
+/** Sends one request; never rejects. */
+export abstract class LoadTarget {
+  abstract send(): Promise<LoadOutcome>;
+}
+
+/** How much load to offer. */
+export interface LoadOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly target: LoadTarget;
+  readonly requestsPerSecond: number;
+  readonly durationMs: number;
+}
+
+/** Latency of the requests that were scheduled in one second. */
+export interface LoadSecond {
+  readonly second: number;
+  readonly answeredCount: number;
+  readonly otherCount: number;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+}
+
+/** The result of a load. */
+export interface LoadReport {
+  readonly requestCount: number;
+  readonly countByOutcome: Readonly<Record<LoadOutcome, number>>;
+  readonly durationMs: number;
+  readonly latencyMs: LatencySummary;
+  readonly seconds: readonly LoadSecond[];
+}
+
+/** Quantiles of the answered requests. */
+export interface LatencySummary {
+  readonly p50: number;
+  readonly p90: number;
+  readonly p99: number;
+  readonly p999: number;
+  readonly max: number;
+}
+
+const microsecondsPerMs = 1_000;
+const highestLatencyMs = 120_000;
+const millisecondsPerSecond = 1_000;
+
+/** Collects latencies in microseconds. */
+export function createLatencyHistogram(): Histogram {
+  return build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: highestLatencyMs * microsecondsPerMs,
+    numberOfSignificantValueDigits: 3,
+  });
+}
+
+/** Records one latency. */
+export function recordLatency(histogram: Histogram, latencyMs: number): void {
+  const boundedMs = Math.min(Math.max(latencyMs, 0), highestLatencyMs);
+  histogram.recordValue(Math.round(boundedMs * microsecondsPerMs));
+}
+
+/** Quantiles in milliseconds. */
+export function summarizeLatency(histogram: Histogram): LatencySummary {
+  const at = (percentile: number) =>
+    histogram.getValueAtPercentile(percentile) / microsecondsPerMs;
+  return {
+    p50: at(50),
+    p90: at(90),
+    p99: at(99),
+    p999: at(99.9),
+    max: histogram.maxValue / microsecondsPerMs,
+  };
+}
+
+interface SecondCounters {
+  readonly histogram: Histogram;
+  answeredCount: number;
+  otherCount: number;
+}
+
+/** Offers load to a target. */
+export class OpenLoopLoad {
+  readonly #options: LoadOptions;
+  readonly #histogram = createLatencyHistogram();
+  readonly #seconds: SecondCounters[] = [];
+  readonly #countByOutcome = {
+    [LoadOutcome.Answered]: 0,
+    [LoadOutcome.Refused]: 0,
+    [LoadOutcome.Failed]: 0,
+  };
+  #requestCount = 0;
+
+  constructor(options: LoadOptions) {
+    this.#options = options;
+  }
+
+  /** Requests started so far. */
+  requestCount(): number {
+    return this.#requestCount;
+  }
+
+  /** Requests answered so far. */
+  answeredCount(): number {
+    return this.#countByOutcome[LoadOutcome.Answered];
+  }
+
+  /** Offers the whole load; resolves when every request has ended. */
+  async run(): Promise<LoadReport> {
+    const { clock, durationMs } = this.#options;
+    const startedAtMs = clock.nowMs();
+    const running = new Set<Promise<void>>();
+    let scheduledMs = this.#nextGapMs();
+    while (scheduledMs < durationMs) {
+      const waitMs = startedAtMs + scheduledMs - clock.nowMs();
+      if (waitMs > 0) await clock.sleep(waitMs);
+      const call = this.#call(startedAtMs, scheduledMs);
+      running.add(call);
+      call.then(() => running.delete(call));
+      scheduledMs += this.#nextGapMs();
+    }
+    await Promise.all(running);
+    return this.#createReport(clock.nowMs() - startedAtMs);
+  }
+
+  async #call(startedAtMs: number, scheduledMs: number): Promise<void> {
+    this.#requestCount += 1;
+    const outcome = await this.#options.target.send();
+    const { clock } = this.#options;
+    const latencyMs = clock.nowMs() - startedAtMs - scheduledMs;
+    this.#countByOutcome[outcome] += 1;
+    const second = this.#secondOf(scheduledMs);
+    if (outcome !== LoadOutcome.Answered) {
+      second.otherCount += 1;
+      return;
+    }
+    second.answeredCount += 1;
+    recordLatency(this.#histogram, latencyMs);
+    recordLatency(second.histogram, latencyMs);
+  }
+
+  #nextGapMs(): number {
+    const { random, requestsPerSecond } = this.#options;
+    const meanGapMs = millisecondsPerSecond / requestsPerSecond;
+    return -Math.log(1 - random.nextFraction()) * meanGapMs;
+  }
+
+  #secondOf(scheduledMs: number): SecondCounters {
+    const index = Math.floor(scheduledMs / millisecondsPerSecond);
+    while (this.#seconds.length <= index) {
+      this.#seconds.push({
+        histogram: createLatencyHistogram(),
+        answeredCount: 0,
+        otherCount: 0,
+      });
+    }
+    return this.#seconds[index]!;
+  }
+
+  #createReport(durationMs: number): LoadReport {
+    return {
+      requestCount: this.#requestCount,
+      countByOutcome: { ...this.#countByOutcome },
+      durationMs,
+      latencyMs: summarizeLatency(this.#histogram),
+      seconds: this.#seconds.map((counters, second) => {
+        const { p50, p99 } = summarizeLatency(counters.histogram);
+        return {
+          second,
+          answeredCount: counters.answeredCount,
+          otherCount: counters.otherCount,
+          p50Ms: p50,
+          p99Ms: p99,
+        };
+      }),
+    };
+  }
+}
