--- a/src/services/home/health_task.ts
+++ b/src/services/home/health_task.ts
@@ -114,5 +114,6 @@
     completedCount: server.takeCompletedCount(),
     queuedCount: server.queuedCount,
     hotKeys: server.hotKeys.takeTop(reportedKeyCount, elapsedMs),
+    shardCounts: server.shardCounts.take(),
   });
 }
--- a/src/services/home/homed_server.ts
+++ b/src/services/home/homed_server.ts
@@ -13,6 +13,7 @@
 import { HotKeyCounter } from "./hot_key_counter.ts";
 import type { QueuedRequest } from "./queued_request.ts";
 import type { ServerGrants } from "./server_grants.ts";
+import { ShardCounter } from "./shard_counter.ts";
 import { ServerHealth } from "./server_health.ts";
 import { Wakeup } from "./wakeup.ts";
 
@@ -30,6 +31,7 @@
   readonly limit: ConcurrencyLimit;
   readonly health: ServerHealth;
   readonly hotKeys = new HotKeyCounter(hotKeyCounterCount);
+  readonly shardCounts = new ShardCounter();
   /** Ends the server's tasks when it is no longer homed here. */
   readonly retired = new AbortController();
   /** Wakes the health task. */
