--- a/scripts/demo_fleet.ts
+++ b/scripts/demo_fleet.ts
@@ -69,7 +69,10 @@
     this.#shape = shape;
   }
 
-  /** Starts everything and waits until every daemon is ready. */
+  /**
+   * Starts everything, has an operator apply the example lists, and waits
+   * until every daemon is ready.
+   */
   async start(): Promise<void> {
     await this.#startPlatform();
     for (
@@ -82,9 +85,41 @@
     for (let index = 0; index < this.#shape.daemonCount; index++) {
       await this.startDaemon(index);
     }
+    await this.#waitForDaemons("/-/health");
+    await this.applyExampleLists();
+    await this.#waitForDaemons("/-/ready");
+  }
+
+  /** Applies the example lists with the operators' tool. */
+  async applyExampleLists(): Promise<void> {
+    const exitCode = await this.runTool([
+      ...["lists", "apply", "examples/plans.yaml", "examples/allowances.yaml"],
+      ...["--base-version", "0", "--author", "demo", "--wait"],
+    ]);
+    if (exitCode !== 0) throw new Error(`the tool ended with ${exitCode}`);
+  }
+
+  /** Runs the operators' tool against the first daemon. */
+  async runTool(
+    toolArguments: readonly string[],
+    onStderr?: (text: string) => void,
+  ): Promise<number | null> {
+    const started = this.group.start("skylarkridge", {
+      program: "src/cli/main.ts",
+      arguments: toolArguments,
+      environment: {
+        SKYLARKRIDGE_PEER: this.daemons[0]!.peerAddress,
+        SKYLARKRIDGE_PEER_SECRET: demoPeerSecret,
+      },
+      ...(onStderr === undefined ? {} : { onStderr }),
+    });
+    return await this.group.waitForExit(started);
+  }
+
+  async #waitForDaemons(path: string): Promise<void> {
     await Promise.all(
       this.daemons.map((daemon) =>
-        waitForStatus(`http://${daemon.entryAddress}/-/ready`)
+        waitForStatus(`http://${daemon.entryAddress}${path}`)
       ),
     );
   }
--- a/src/cli/tool_help.ts
+++ b/src/cli/tool_help.ts
@@ -24,7 +24,7 @@
   --json                print the result as JSON
   --wait                after \`lists apply\`, wait for every daemon
   --wait-timeout-ms N   longest wait, 1 to 3600000 ms (default 30000)
-  --author NAME         who changes the lists (default: the user's name)
+  --author NAME         who changes the lists (default: operator)
   --base-version N      version of the lists that the change starts from
   --out FOLDER          folder into which \`lists show\` writes both lists
   --help                print this text
--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -14,12 +14,14 @@
 import { HttpEntry } from "../services/entry/http_entry.ts";
 import { SlotHome } from "../services/home/slot_home.ts";
 import { DaemonLifecycle } from "../services/lifecycle/daemon_lifecycle.ts";
+import { StoredLists } from "../services/lists/stored_lists.ts";
 import { ConsolaLog } from "../services/log/consola_log.ts";
-import { DirectoryMembership } from "../services/membership/directory_membership.ts";
+import { SyncedMembership } from "../services/membership/synced_membership.ts";
 import { StatsdMetrics } from "../services/metrics/statsd_metrics.ts";
 import { ConnectOperator } from "../services/operator/connect_operator.ts";
+import { CoordinatedOwnership } from "../services/ownership/coordinated_ownership.ts";
+import { LeastLoadedPlacement } from "../services/ownership/least_loaded_placement.ts";
 import { AdmittingPipeline } from "../services/pipeline/admitting_pipeline.ts";
-import { TableOwnership } from "../services/ownership/table_ownership.ts";
 import { HttpPeerServer } from "../services/peers/http_peer_server.ts";
 import { HttpPeerTransport } from "../services/peers/http_peer_transport.ts";
 import type { Settings } from "./settings_schema.ts";
@@ -84,10 +86,12 @@
 export type DecisionSettings = Pick<
   Settings,
   | "daemonId"
+  | "region"
   | "dataCentre"
   | "peerAddress"
   | "services"
   | "permitDurationMs"
+  | "leaseDurationMs"
   | "ownershipIntervalMs"
 >;
 
@@ -101,21 +105,25 @@
 ): void {
   kernel
     .register(
-      new DirectoryMembership({
+      new SyncedMembership({
         daemonId: settings.daemonId,
         address: settings.peerAddress,
         dataCentre: settings.dataCentre,
       }),
     )
     .register(
-      new TableOwnership({
+      new CoordinatedOwnership({
+        region: settings.region,
         definitions: settings.services,
-        pollIntervalMs: settings.ownershipIntervalMs,
+        placement: new LeastLoadedPlacement(),
+        syncIntervalMs: settings.ownershipIntervalMs,
         permitDurationMs: settings.permitDurationMs,
+        leaseDurationMs: settings.leaseDurationMs,
       }),
     )
     .register(new SlotHome())
     .register(new RetryingDelivery())
+    .register(new StoredLists())
     .register(new OpenAdmission())
     .register(new AdmittingPipeline());
 }
--- a/src/daemon/settings_schema.ts
+++ b/src/daemon/settings_schema.ts
@@ -124,6 +124,13 @@
 export const settingsSchema = z.strictObject({
   daemonId: createName("identifier of this run of the daemon"),
   dataCentre: createName("data centre this VM stands in"),
+  region: describeSetting(
+    z.string().regex(/^[a-z0-9-]+$/).default("region"),
+    {
+      description: "region whose store this daemon uses",
+      allowed: "lower-case letters, digits and dashes",
+    },
+  ),
   entryAddress: createAddress("address of the callers' listener"),
   peerAddress: createAddress(
     "address of the listener for daemons and the tool",
@@ -154,6 +161,10 @@
     min: 200,
     default: 1_800,
   }),
+  leaseDurationMs: createDuration("validity of the coordinator's lease", {
+    min: 100,
+    default: 1_000,
+  }),
   ownershipIntervalMs: createDuration("time between syncs of ownership", {
     min: 20,
     default: 300,
--- a/src/services/metrics/statsd_metrics.ts
+++ b/src/services/metrics/statsd_metrics.ts
@@ -158,7 +158,8 @@
 function summarize(labelled: LabelledHistogram): HistogramSummary {
   const { histogram, timing, customer, requestClass } = labelled;
   function quantileMs(percentile: number): number {
-    return histogram.getValueAtPercentile(percentile) / microsecondsPerMs;
+    const valueUs = histogram.getValueAtPercentile(percentile);
+    return Math.min(valueUs, histogram.maxValue) / microsecondsPerMs;
   }
   return {
     timing,
