--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -13,8 +13,8 @@
 
 /** Customers of the example lists. */
 const customerByService: Readonly<Record<string, string>> = {
-  confirmation: "cuadrillas-supervisors",
-  roster: "cuadrillas-supervisors",
+  confirmation: "cuadrillas-members",
+  roster: "cuadrillas-members",
   "flood-map": "puddlewatch-residents",
 };
 
--- a/scripts/demo_fleet.ts
+++ b/scripts/demo_fleet.ts
@@ -7,6 +7,7 @@
 import { request } from "undici";
 import { VmRole, VmState } from "../src/types/enums.ts";
 import type { VmRecord } from "../src/types/types.ts";
+import { applyExampleLists } from "./apply_example_lists.ts";
 import {
   findFreePort,
   ProcessGroup,
@@ -69,10 +70,7 @@
     this.#shape = shape;
   }
 
-  /**
-   * Starts everything, has an operator apply the example lists, and waits
-   * until every daemon is ready.
-   */
+  /** Starts everything and waits until every daemon is ready. */
   async start(): Promise<void> {
     await this.#startPlatform();
     for (
@@ -85,41 +83,12 @@
     for (let index = 0; index < this.#shape.daemonCount; index++) {
       await this.startDaemon(index);
     }
-    await this.#waitForDaemons("/-/health");
-    await this.applyExampleLists();
-    await this.#waitForDaemons("/-/ready");
-  }
-
-  /** Applies the example lists with the operators' tool. */
-  async applyExampleLists(): Promise<void> {
-    const exitCode = await this.runTool([
-      ...["lists", "apply", "examples/plans.yaml", "examples/allowances.yaml"],
-      ...["--base-version", "0", "--author", "demo", "--wait"],
-    ]);
-    if (exitCode !== 0) throw new Error(`the tool ended with ${exitCode}`);
-  }
-
-  /** Runs the operators' tool against the first daemon. */
-  async runTool(
-    toolArguments: readonly string[],
-    onStderr?: (text: string) => void,
-  ): Promise<number | null> {
-    const started = this.group.start("skylarkridge", {
-      program: "src/cli/main.ts",
-      arguments: toolArguments,
-      environment: {
-        SKYLARKRIDGE_PEER: this.daemons[0]!.peerAddress,
-        SKYLARKRIDGE_PEER_SECRET: demoPeerSecret,
-      },
-      ...(onStderr === undefined ? {} : { onStderr }),
+    await applyExampleLists(this.daemons[0]!.peerAddress, {
+      peerSecret: demoPeerSecret,
     });
-    return await this.group.waitForExit(started);
-  }
-
-  async #waitForDaemons(path: string): Promise<void> {
     await Promise.all(
       this.daemons.map((daemon) =>
-        waitForStatus(`http://${daemon.entryAddress}${path}`)
+        waitForStatus(`http://${daemon.entryAddress}/-/ready`)
       ),
     );
   }
--- a/scripts/process_group.ts
+++ b/scripts/process_group.ts
@@ -32,14 +32,13 @@
     name: string,
     options: {
       readonly program: string;
-      readonly arguments?: readonly string[];
       readonly environment: Readonly<Record<string, string>>;
       readonly onStderr?: (text: string) => void;
     },
   ): StartedProcess {
     const child = spawn(
       process.execPath,
-      ["--import", "tsx", options.program, ...options.arguments ?? []],
+      ["--import", "tsx", options.program],
       {
         env: { ...process.env, ...options.environment },
         stdio: ["ignore", "pipe", "pipe"],
@@ -52,12 +51,6 @@
     return started;
   }
 
-  /** Waits for a program that ends by itself; returns its exit code. */
-  async waitForExit({ child }: StartedProcess): Promise<number | null> {
-    if (child.exitCode === null) await once(child, "exit");
-    return child.exitCode;
-  }
-
   /** Ends one process and waits for it. */
   async end(started: StartedProcess, signal: NodeJS.Signals): Promise<void> {
     const { child } = started;
--- a/src/cli/fleet_client.ts
+++ b/src/cli/fleet_client.ts
@@ -5,7 +5,7 @@
 import type { DescService } from "@bufbuild/protobuf";
 import { type Client, createClient } from "@connectrpc/connect";
 import {
-  type Daemon,
+  type FleetDaemon,
   type GetStatusResponse,
   OperatorService,
 } from "../gen/skylarkridge/v1/operator_pb.ts";
@@ -16,7 +16,7 @@
 
 /** What one daemon answered; exactly one of the two is set. */
 export interface DaemonAnswer<T> {
-  readonly daemon: Daemon;
+  readonly daemon: FleetDaemon;
   readonly value: T | undefined;
   readonly error: ToolError | undefined;
 }
@@ -73,7 +73,7 @@
 
   /** Asks one daemon of the fleet; throws `ToolError`. */
   async askDaemon<S extends DescService, T>(
-    daemon: Daemon,
+    daemon: FleetDaemon,
     question: Question<S, T>,
   ): Promise<T> {
     return await this.#askAt(daemon.address, question);
@@ -81,7 +81,7 @@
 
   /** Asks one daemon; a failure is part of the answer. */
   async #tryAskDaemon<S extends DescService, T>(
-    daemon: Daemon,
+    daemon: FleetDaemon,
     question: Question<S, T>,
   ): Promise<DaemonAnswer<T>> {
     try {
--- a/src/daemon/settings_schema.ts
+++ b/src/daemon/settings_schema.ts
@@ -123,14 +123,14 @@
 /** Every setting of the daemon. */
 export const settingsSchema = z.strictObject({
   daemonId: createName("identifier of this run of the daemon"),
-  dataCentre: createName("data centre this VM stands in"),
   region: describeSetting(
     z.string().regex(/^[a-z0-9-]+$/).default("region"),
     {
-      description: "region whose store this daemon uses",
+      description: "region whose coordinator this daemon follows",
       allowed: "lower-case letters, digits and dashes",
     },
   ),
+  dataCentre: createName("data centre this VM stands in"),
   entryAddress: createAddress("address of the callers' listener"),
   peerAddress: createAddress(
     "address of the listener for daemons and the tool",
@@ -161,10 +161,10 @@
     min: 200,
     default: 1_800,
   }),
-  leaseDurationMs: createDuration("validity of the coordinator's lease", {
-    min: 100,
-    default: 1_000,
-  }),
+  leaseDurationMs: createDuration(
+    "time after which an unchanged coordinator lease has lapsed",
+    { min: 100, default: 1_000 },
+  ),
   ownershipIntervalMs: createDuration("time between syncs of ownership", {
     min: 20,
     default: 300,
--- a/src/services/entry/refusal.ts
+++ b/src/services/entry/refusal.ts
@@ -102,5 +102,6 @@
   [MessageCode.RetryBudgetSpent]: 503,
   [MessageCode.RepeatInProgress]: 409,
   [MessageCode.ListsMissing]: 503,
+  [MessageCode.RepeatAnswerGone]: 409,
   [MessageCode.Internal]: 500,
 };
--- a/src/services/operator/operator_status.ts
+++ b/src/services/operator/operator_status.ts
@@ -70,9 +70,6 @@
   return {
     daemonId: coordinator.daemonId,
     epoch: BigInt(coordinator.epoch),
-    leaseRemainingMs: BigInt(Math.max(
-      0,
-      Math.round(coordinator.leaseRemainingMs),
-    )),
+    permitRemainingMs: BigInt(Math.round(coordinator.permitRemainingMs)),
   };
 }
--- a/src/testing/key_traffic.ts
+++ b/src/testing/key_traffic.ts
@@ -4,6 +4,7 @@
  */
 import { computeLongestGapMs, findViolations } from "./invariant_checker.ts";
 import type { Violation } from "./invariant_checker.ts";
+import type { RoutedRequest } from "../types/types.ts";
 import type { TestDaemon, TestFleet } from "./test_fleet.ts";
 
 /** What to send. */
@@ -59,6 +60,16 @@
     return Math.max(...gaps.values());
   }
 
+  /** Longest time for which a backend server started nothing. */
+  longestGapOfServerMs(serverId: string, fromMs: number): number {
+    const toMs = this.#fleet.clock.nowMs();
+    const executions = this.#fleet.backends.executions()
+      .filter((execution) => execution.serverId === serverId)
+      .map((execution) => ({ ...execution, key: serverId }));
+    const gaps = computeLongestGapMs(executions, { fromMs, toMs });
+    return gaps.get(serverId) ?? toMs - fromMs;
+  }
+
   /** Breaches that the backend servers' logs show. */
   violations(): readonly Violation[] {
     return findViolations(this.#fleet.backends.executions());
@@ -73,8 +84,22 @@
         key: `key-${index}`,
         deadlineAtMs: this.#fleet.clock.nowMs() + this.#options.deadlineMs,
       });
-      this.#fleet.deliver(daemon, request).catch(() => {});
+      void sendAndConsume(this.#fleet, { daemon, request });
     }
     this.#turn += 1;
   }
 }
+
+/** Consumes the answer, as a caller does; the slot stays taken until then. */
+async function sendAndConsume(
+  fleet: TestFleet,
+  call: { readonly daemon: TestDaemon; readonly request: RoutedRequest },
+): Promise<void> {
+  try {
+    const result = await fleet.deliver(call.daemon, call.request);
+    if (result.isErr()) return;
+    for await (const _chunk of result.value.body);
+  } catch {
+    // A broken answer; the backend servers' logs show what ran.
+  }
+}
--- a/src/testing/loopback_fleet.ts
+++ b/src/testing/loopback_fleet.ts
@@ -206,7 +206,7 @@
   override observe(): void {}
 
   override coordinator(): CoordinatorStatus {
-    return { daemonId: "daemon-0", epoch: 3, leaseRemainingMs: 700 };
+    return { daemonId: "daemon-0", epoch: 3, permitRemainingMs: 700 };
   }
 
   override history(): readonly MoveRecord[] {
