--- a/src/cli/command_table.ts
+++ b/src/cli/command_table.ts
@@ -7,6 +7,11 @@
 import { HistogramsCommand } from "./commands/histograms_command.ts";
 import { HistoryCommand } from "./commands/history_command.ts";
 import { LimitsCommand } from "./commands/limits_command.ts";
+import { ListsApplyCommand } from "./commands/lists_apply_command.ts";
+import { ListsCheckCommand } from "./commands/lists_check_command.ts";
+import { ListsDiffCommand } from "./commands/lists_diff_command.ts";
+import { ListsHistoryCommand } from "./commands/lists_history_command.ts";
+import { ListsShowCommand } from "./commands/lists_show_command.ts";
 import { OwnerCommand } from "./commands/owner_command.ts";
 import { StatusCommand } from "./commands/status_command.ts";
 import { ToolExitCode } from "./exit_code.ts";
@@ -15,6 +20,11 @@
 /** Every command, in the order of the help. */
 export function createCommands(): readonly Command[] {
   return [
+    new ListsCheckCommand(),
+    new ListsApplyCommand(),
+    new ListsShowCommand(),
+    new ListsDiffCommand(),
+    new ListsHistoryCommand(),
     new OwnerCommand(),
     new HistoryCommand(),
     new StatusCommand(),
--- a/src/cli/fleet_status.ts
+++ b/src/cli/fleet_status.ts
@@ -123,7 +123,7 @@
   const coordinatorText = coordinator === undefined
     ? "not known"
     : `${coordinator.daemonId}, epoch ${coordinator.epoch}, ` +
-      `lease ${coordinator.leaseRemainingMs} ms`;
+      `permit ${coordinator.permitRemainingMs} ms`;
   return [
     `coordinator  ${coordinatorText}`,
     `lists        version ${status.listsVersion}`,
--- a/src/cli/run_tool.ts
+++ b/src/cli/run_tool.ts
@@ -20,7 +20,8 @@
 import { createToolHelp } from "./tool_help.ts";
 
 const connectTimeoutMs = 2_000;
-const callTimeoutMs = 5_000;
+/** Longer than a daemon waits to learn what became of a write. */
+const callTimeoutMs = 15_000;
 
 /** What the tool runs with. */
 export interface ToolOptions {
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -21,7 +21,7 @@
 /** Environment variables are the flag in capitals after this prefix. */
 export const environmentPrefix = "SKYLARKRIDGE_";
 
-const minSyncsPerPermit = 3;
+const minSyncsPerValidity = 3;
 const maxShownLength = 80;
 
 /** The flags of the daemon, as meow takes them. */
@@ -108,12 +108,18 @@
   settings: Settings,
   texts: SettingTexts,
 ): string[] {
-  const minPermitMs = minSyncsPerPermit * settings.ownershipIntervalMs;
+  const minValidityMs = minSyncsPerValidity * settings.ownershipIntervalMs;
   const rules: readonly ContradictionRule[] = [
     {
       name: "permitDurationMs",
-      isBroken: settings.permitDurationMs < minPermitMs,
-      allowed: `at least ${minPermitMs} ms, ${minSyncsPerPermit} times ` +
+      isBroken: settings.permitDurationMs < minValidityMs,
+      allowed: `at least ${minValidityMs} ms, ${minSyncsPerValidity} times ` +
+        flagName("ownershipIntervalMs"),
+    },
+    {
+      name: "leaseDurationMs",
+      isBroken: settings.leaseDurationMs < minValidityMs,
+      allowed: `at least ${minValidityMs} ms, ${minSyncsPerValidity} times ` +
         flagName("ownershipIntervalMs"),
     },
     {
@@ -135,7 +141,7 @@
 }
 
 interface ContradictionRule {
-  readonly name: "permitDurationMs" | "defaultDeadlineMs" | "peerAddress";
+  readonly name: SettingName;
   readonly isBroken: boolean;
   readonly allowed: string;
 }
@@ -145,6 +151,7 @@
   return {
     ...texts,
     permitDurationMs: String(settings.permitDurationMs),
+    leaseDurationMs: String(settings.leaseDurationMs),
     defaultDeadlineMs: String(settings.defaultDeadlineMs),
   };
 }
--- a/src/services/pipeline/request_scope.ts
+++ b/src/services/pipeline/request_scope.ts
@@ -4,14 +4,6 @@
 import { RouterError } from "../../types/errors.ts";
 import type { RoutedRequest } from "../../types/types.ts";
 
-/** Durations of one request so far, in milliseconds. */
-export interface RequestDurations {
-  readonly admissionMs: number;
-  /** From admission to now. */
-  readonly deliveryMs: number;
-  readonly totalMs: number;
-}
-
 /** Aborts its signal when the caller goes away or the deadline passes. */
 export class RequestScope {
   readonly #clock: Clock;
@@ -20,7 +12,6 @@
   readonly #startedAtMs: number;
   readonly #cancelDeadline: CancelTimer;
   readonly #onEnd: () => void;
-  #admittedAtMs: number;
   #hasEnded = false;
 
   constructor(
@@ -33,7 +24,6 @@
     this.#callerSignal = callerSignal;
     this.#onEnd = options.onEnd;
     this.#startedAtMs = clock.nowMs();
-    this.#admittedAtMs = this.#startedAtMs;
     const remainingMs = request.deadlineAtMs - this.#startedAtMs;
     this.#cancelDeadline = clock.after(remainingMs, this.#passDeadline);
     callerSignal.addEventListener("abort", this.#cancel, { once: true });
@@ -45,19 +35,9 @@
     return this.#controller.signal;
   }
 
-  /** Ends the wait for admission. */
-  markAdmitted(): void {
-    this.#admittedAtMs = this.#clock.nowMs();
-  }
-
-  /** The durations until now. */
-  elapsed(): RequestDurations {
-    const nowMs = this.#clock.nowMs();
-    return {
-      admissionMs: this.#admittedAtMs - this.#startedAtMs,
-      deliveryMs: nowMs - this.#admittedAtMs,
-      totalMs: nowMs - this.#startedAtMs,
-    };
+  /** Time since the request began, in milliseconds. */
+  elapsedMs(): number {
+    return this.#clock.nowMs() - this.#startedAtMs;
   }
 
   /** Releases the timer and the listener; later calls have no effect. */
