Prove delivery, the wire's outcomes and the limits of idempotency records

Cause: retries, the HTTP transports and the bounds of the records had no tests; a former home's late "not run" could remove the record of an attempt that the present home was running, after which a repeat would have run twice; forwarded confirmations shared 16 connections with archive requests.

Ruled out: resends by undici on a reused connection that died; a loopback test counts one arrival for POST and for GET.

Change: a record made here is ended here alone; forwarded requests use connections of their own for each class, 64 to a peer.

--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -24,7 +24,7 @@
 
 const connectTimeoutMs = 500;
 const peerCallTimeoutMs = 1_000;
-const connectionsPerPeer = 16;
+const connectionsPerPeer = 64;
 
 /** Registers every service that a daemon runs. */
 export function createDaemon(settings: Settings): Kernel {
--- /dev/null
+++ b/src/services/backend/http_backend_transport_test.ts
@@ -0,0 +1,212 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { text } from "node:stream/consumers";
+import * as assert from "uvu/assert";
+import { describe, it } from "../../testing/describe.ts";
+import {
+  AttemptOutcome,
+  BackendServerState,
+  RequestClass,
+} from "../../types/enums.ts";
+import type { KeyLocation, RoutedRequest } from "../../types/types.ts";
+import { listen } from "../peers/http_peer_server.ts";
+import { HttpBackendTransport } from "./http_backend_transport.ts";
+
+type Handler = (request: IncomingMessage, response: ServerResponse) => void;
+
+/** A backend server on loopback and a transport with one connection to it. */
+class Loopback {
+  readonly #server: Server;
+  readonly transport = new HttpBackendTransport({
+    connectTimeoutMs: 500,
+    connectionsPerServer: 1,
+  });
+  readonly received: string[] = [];
+  connectionCount = 0;
+
+  constructor(handler: Handler) {
+    this.#server = createServer((request, response) => {
+      this.received.push(String(request.headers["skylark-request-id"]));
+      handler(request, response);
+    });
+    this.#server.on("connection", () => this.connectionCount += 1);
+  }
+
+  async start(): Promise<void> {
+    await listen(this.#server, { host: "127.0.0.1", port: 0 });
+  }
+
+  async stop(): Promise<void> {
+    await this.transport.stop();
+    this.#server.closeAllConnections();
+    await new Promise((resolve) => this.#server.close(resolve));
+  }
+
+  send(
+    requestId: string,
+    parts: Partial<RoutedRequest> = {},
+    signal: AbortSignal = new AbortController().signal,
+  ) {
+    const { port } = this.#server.address() as AddressInfo;
+    return this.transport.send(createRequest(requestId, parts), {
+      ...createLocation(port),
+    }, { signal, startBeforeWallMs: 0 });
+  }
+}
+
+function createRequest(
+  requestId: string,
+  parts: Partial<RoutedRequest>,
+): RoutedRequest {
+  return {
+    requestId,
+    customer: "customer",
+    service: "confirmation",
+    key: "key",
+    requestClass: RequestClass.Confirmation,
+    isIdempotent: false,
+    idempotencyKey: undefined,
+    method: "POST",
+    path: "/",
+    headers: {},
+    body: Buffer.from("body"),
+    deadlineAtMs: 0,
+    ...parts,
+  };
+}
+
+function createLocation(port: number): KeyLocation {
+  return {
+    service: "confirmation",
+    shard: 0,
+    server: {
+      serverId: "server",
+      address: `127.0.0.1:${port}`,
+      dataCentre: "dc-a",
+      state: BackendServerState.Live,
+      homeDaemonId: "daemon",
+      standbyDaemonId: undefined,
+      homeFence: 1,
+    },
+    fence: 1,
+    assignmentVersion: 1,
+  };
+}
+
+async function readAll(body: AsyncIterable<Uint8Array>): Promise<string> {
+  const chunks: Uint8Array[] = [];
+  for await (const chunk of body) chunks.push(chunk);
+  return Buffer.concat(chunks).toString("utf8");
+}
+
+/** Answers with the identifier of the request. */
+function echo(request: IncomingMessage, response: ServerResponse): void {
+  const requestId = String(request.headers["skylark-request-id"]);
+  text(request).then(() => {
+    response.setHeader("skylark-request-id", requestId);
+    response.end(requestId);
+  });
+}
+
+describe("HttpBackendTransport", () => {
+  describe("a reused connection that dies", () => {
+    for (const method of ["POST", "GET"]) {
+      it(`never has a ${method} sent again`, async () => {
+        const loopback = new Loopback((request, response) => {
+          const isSecond = request.headers["skylark-request-id"] === "second";
+          if (isSecond) text(request).then(() => request.socket.destroy());
+          else echo(request, response);
+        });
+        await loopback.start();
+        const first = await loopback.send("first");
+        assert.ok(first.isOk());
+        await readAll(first.value.body);
+        const second = await loopback.send("second", { method });
+        assert.ok(second.isErr());
+        assert.is(second.error.outcome, AttemptOutcome.Unknown);
+        const third = await loopback.send("third");
+        assert.ok(third.isOk());
+        assert.is(await readAll(third.value.body), "third");
+        assert.equal(loopback.received, ["first", "second", "third"]);
+        assert.is(loopback.connectionCount, 2);
+        await loopback.stop();
+      });
+    }
+  });
+
+  describe("a cut body", () => {
+    it("fails the read", async () => {
+      const loopback = new Loopback((_request, response) => {
+        response.writeHead(200, { "content-length": "100" });
+        response.write("part", () => response.destroy());
+      });
+      await loopback.start();
+      const result = await loopback.send("cut");
+      assert.ok(result.isOk());
+      let isBroken = false;
+      await readAll(result.value.body).catch(() => isBroken = true);
+      assert.ok(isBroken);
+      await loopback.stop();
+    });
+  });
+
+  describe("a cancelled request", () => {
+    it("leaves no late answer to the next one", async () => {
+      const held: (() => void)[] = [];
+      const loopback = new Loopback((request, response) => {
+        const isFirst = request.headers["skylark-request-id"] === "first";
+        if (isFirst) held.push(() => echo(request, response));
+        else echo(request, response);
+      });
+      await loopback.start();
+      const caller = new AbortController();
+      const first = loopback.send("first", {}, caller.signal);
+      while (held.length === 0) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+      caller.abort();
+      const cancelled = await first;
+      assert.ok(cancelled.isErr());
+      assert.is(cancelled.error.outcome, AttemptOutcome.Unknown);
+      const second = loopback.send("second");
+      held[0]!();
+      const answer = await second;
+      assert.ok(answer.isOk());
+      assert.is(await readAll(answer.value.body), "second");
+      await loopback.stop();
+    });
+  });
+
+  describe("outcomes", () => {
+    it("are not sent when the connection is refused", async () => {
+      const loopback = new Loopback(echo);
+      await loopback.start();
+      const location = createLocation(1);
+      const result = await loopback.transport.send(
+        createRequest("refused", {}),
+        location,
+        { signal: new AbortController().signal, startBeforeWallMs: 0 },
+      );
+      assert.is(result.isErr() && result.error.outcome, AttemptOutcome.NotSent);
+      await loopback.stop();
+    });
+
+    it("are refused unrun when the server says so", async () => {
+      const loopback = new Loopback((_request, response) => {
+        response.writeHead(503, { "skylark-refused-unrun": "shedding" }).end();
+      });
+      await loopback.start();
+      const result = await loopback.send("shed");
+      assert.is(
+        result.isErr() && result.error.outcome,
+        AttemptOutcome.RefusedUnrun,
+      );
+      await loopback.stop();
+    });
+  });
+});
--- a/src/services/home/idempotency_guard.ts
+++ b/src/services/home/idempotency_guard.ts
@@ -119,6 +119,7 @@
       fingerprint: computeFingerprint(dispatch.request),
       state: RecordState.InProgress,
       answer: undefined,
+      isLocal: true,
       expiresAtMs: clock.nowMs() + idempotencyWindowMs,
     };
     records.put(record);
--- a/src/services/home/idempotency_records.ts
+++ b/src/services/home/idempotency_records.ts
@@ -47,6 +47,8 @@
   readonly state: RecordState;
   /** Undefined when the answer was too large to be kept. */
   readonly answer: StoredAnswer | undefined;
+  /** Whether this daemon made the attempt; it alone ends such a record. */
+  readonly isLocal: boolean;
   /** Local instant until which the record is kept. */
   readonly expiresAtMs: number;
 }
@@ -114,6 +116,8 @@
     if (held === undefined) return this.put(record);
     if (held.state === RecordState.Answered) return;
     const isSameAttempt = held.attemptId === record.attemptId;
+    const isAnswered = record.state === RecordState.Answered;
+    if (held.isLocal && !isSameAttempt && !isAnswered) return;
     const isStale = isSameAttempt && record.state === RecordState.InProgress;
     if (!isStale) this.put(record);
   }
--- a/src/services/home/idempotency_test.ts
+++ b/src/services/home/idempotency_test.ts
@@ -168,6 +168,35 @@
     });
   });
 
+  describe("repeats after home and standby were lost", () => {
+    it("never run, since nothing is known of the first", async () => {
+      const fleet = await startFleet({ daemonCount: 4 });
+      const [home, standby, next, other] = fleet.daemons;
+      const request = fleet.createConfirmation();
+      await fleet.settle(fleet.deliverWhole(other!, request));
+      fleet.kill(home!);
+      fleet.kill(standby!);
+      fleet.assign({
+        servers: fleet.serversWith(0, {
+          homeDaemonId: next!.info.daemonId,
+          standbyDaemonId: other!.info.daemonId,
+          homeFence: 2,
+        }),
+      });
+      const repeat = await fleet.settle(
+        fleet.deliver(other!, { ...request, requestId: "repeat" }),
+      );
+      assert.ok(repeat.isErr());
+      assert.is(repeat.error.outcome, AttemptOutcome.Unknown);
+      assert.is(fleet.backends.executions().length, 1);
+      const read = await fleet.settle(
+        fleet.deliverWhole(other!, fleet.createRequest()),
+      );
+      assert.ok(read.isOk());
+      await fleet.stop();
+    });
+  });
+
   describe("repeats during a move", () => {
     it("find the answer at the home of the shard's new owner", async () => {
       const fleet = await startFleet({ serverCount: 3 });
--- a/src/services/home/record_codec.ts
+++ b/src/services/home/record_codec.ts
@@ -39,6 +39,7 @@
     fingerprint: message.fingerprint,
     state: decodeState(message.state),
     answer: decodeAnswer(message),
+    isLocal: false,
     expiresAtMs: nowMs + message.remainingMs,
   };
 }
--- a/src/services/home/record_service.ts
+++ b/src/services/home/record_service.ts
@@ -8,7 +8,7 @@
 import type { IdempotencyRecords, RecordScope } from "./idempotency_records.ts";
 import { decodeRecord, encodeRecord } from "./record_codec.ts";
 
-const fetchPageSize = 500;
+const fetchPageSize = 200;
 
 /** Registers the RPCs with the peer server. */
 export function addRecordService(
--- /dev/null
+++ b/src/services/peers/http_forward_test.ts
@@ -0,0 +1,201 @@
+import { err, ok } from "neverthrow";
+import * as assert from "uvu/assert";
+import { MessageCode } from "../../diagnostics/messages.ts";
+import { SystemClock } from "../../host/system_clock.ts";
+import { Kernel } from "../../kernel/kernel.ts";
+import { describe, it } from "../../testing/describe.ts";
+import {
+  AttemptOutcome,
+  BackendServerState,
+  RequestClass,
+} from "../../types/enums.ts";
+import { RouterError } from "../../types/errors.ts";
+import type { KeyLocation, RoutedRequest } from "../../types/types.ts";
+import { Home, type HomedServerStatus } from "../home/home.ts";
+import type { DispatchResult } from "../home/queued_request.ts";
+import { StatsdMetrics } from "../metrics/statsd_metrics.ts";
+import { HttpPeerServer } from "./http_peer_server.ts";
+import { HttpPeerTransport } from "./http_peer_transport.ts";
+
+const secret = "a secret of the test fleet";
+
+type Dispatch = (
+  request: RoutedRequest,
+  signal: AbortSignal,
+) => Promise<DispatchResult>;
+
+/** A home that does what the test says. */
+class ScriptedHome extends Home {
+  readonly #dispatch: Dispatch;
+  readonly received: RoutedRequest[] = [];
+
+  constructor(dispatch: Dispatch) {
+    super();
+    this.#dispatch = dispatch;
+  }
+
+  override dispatch(
+    request: RoutedRequest,
+    options: { readonly signal: AbortSignal },
+  ): Promise<DispatchResult> {
+    this.received.push(request);
+    return this.#dispatch(request, options.signal);
+  }
+
+  override status(): readonly HomedServerStatus[] {
+    return [];
+  }
+}
+
+/** Two ends of one hop on loopback. */
+class Hop {
+  readonly home: ScriptedHome;
+  readonly #server = new HttpPeerServer({ host: "127.0.0.1", port: 0, secret });
+  readonly #kernel = new Kernel();
+  readonly #transport = new HttpPeerTransport({
+    secret,
+    connectionsPerPeer: 2,
+    connectTimeoutMs: 500,
+    callTimeoutMs: 500,
+  });
+
+  constructor(dispatch: Dispatch) {
+    this.home = new ScriptedHome(dispatch);
+    this.#kernel
+      .register(new SystemClock())
+      .register(new StatsdMetrics({ address: undefined, daemonId: "test" }))
+      .register(this.home)
+      .register(this.#server)
+      .register(this.#transport);
+  }
+
+  start(): Promise<void> {
+    return this.#kernel.start();
+  }
+
+  stop(): Promise<void> {
+    return this.#kernel.stop();
+  }
+
+  forward(
+    parts: Partial<RoutedRequest> = {},
+    signal: AbortSignal = new AbortController().signal,
+  ) {
+    const address = `127.0.0.1:${this.#server.port()}`;
+    const request = createRequest(parts);
+    return this.#transport.forward(address, request, { location, signal });
+  }
+}
+
+const location: KeyLocation = {
+  service: "roster",
+  shard: 0,
+  server: {
+    serverId: "server",
+    address: "127.0.0.1:1",
+    dataCentre: "dc-a",
+    state: BackendServerState.Live,
+    homeDaemonId: "daemon",
+    standbyDaemonId: undefined,
+    homeFence: 1,
+  },
+  fence: 1,
+  assignmentVersion: 1,
+};
+
+function createRequest(parts: Partial<RoutedRequest>): RoutedRequest {
+  return {
+    requestId: "request",
+    customer: "customer",
+    service: "roster",
+    key: "schlüssel/ñ",
+    requestClass: RequestClass.LiveRead,
+    isIdempotent: true,
+    idempotencyKey: undefined,
+    method: "GET",
+    path: "/",
+    headers: {},
+    body: new Uint8Array(),
+    deadlineAtMs: new SystemClock().nowMs() + 60_000,
+    ...parts,
+  };
+}
+
+describe("forwarding over HTTP", () => {
+  describe("a request", () => {
+    it("arrives with its key, plan rank and body", async () => {
+      const hop = new Hop(() =>
+        Promise.resolve(err(new RouterError(MessageCode.NotHome, "test")))
+      );
+      await hop.start();
+      const body = Buffer.from("content");
+      await hop.forward({ planRank: 7, idempotencyKey: "once", body });
+      const [received] = hop.home.received;
+      assert.is(received?.key, "schlüssel/ñ");
+      assert.is(received?.planRank, 7);
+      assert.is(received?.idempotencyKey, "once");
+      assert.is(Buffer.from(received!.body).toString(), "content");
+      await hop.stop();
+    });
+  });
+
+  describe("a failure", () => {
+    it("keeps its code and outcome", async () => {
+      const hop = new Hop(() =>
+        Promise.resolve(err(
+          new RouterError(MessageCode.BackendRefused, "send", {
+            outcome: AttemptOutcome.RefusedUnrun,
+          }),
+        ))
+      );
+      await hop.start();
+      const result = await hop.forward();
+      assert.ok(result.isErr());
+      assert.is(result.error.code, MessageCode.BackendRefused);
+      assert.is(result.error.outcome, AttemptOutcome.RefusedUnrun);
+      await hop.stop();
+    });
+  });
+
+  describe("an answer that breaks", () => {
+    it("breaks for the reader too", async () => {
+      async function* body(): AsyncGenerator<Uint8Array> {
+        yield Buffer.from("part");
+        await new Promise((resolve) => setImmediate(resolve));
+        throw new RouterError(MessageCode.AnswerBroken, "read answer");
+      }
+      const hop = new Hop(() =>
+        Promise.resolve(ok({ status: 200, headers: {}, body: body() }))
+      );
+      await hop.start();
+      const result = await hop.forward();
+      assert.ok(result.isOk());
+      let isBroken = false;
+      try {
+        for await (const _chunk of result.value.body);
+      } catch {
+        isBroken = true;
+      }
+      assert.ok(isBroken);
+      await hop.stop();
+    });
+  });
+
+  describe("a cancelled request", () => {
+    it("aborts the signal of its home", async () => {
+      let noteAborted: () => void = () => {};
+      const aborted = new Promise<void>((resolve) => noteAborted = resolve);
+      const caller = new AbortController();
+      const hop = new Hop((_request, signal) => {
+        signal.addEventListener("abort", () => noteAborted());
+        caller.abort();
+        return new Promise(() => {});
+      });
+      await hop.start();
+      const result = await hop.forward({}, caller.signal);
+      assert.is(result.isErr() && result.error.outcome, AttemptOutcome.Unknown);
+      await aborted;
+      await hop.stop();
+    });
+  });
+});
--- a/src/services/peers/http_peer_transport.ts
+++ b/src/services/peers/http_peer_transport.ts
@@ -7,7 +7,7 @@
 import { PeerTransport } from "../../host/peer_transport.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
-import { AttemptOutcome } from "../../types/enums.ts";
+import { AttemptOutcome, RequestClass } from "../../types/enums.ts";
 import { RouterError } from "../../types/errors.ts";
 import { tryDecodeFailure } from "../../types/failure_codec.ts";
 import type {
@@ -26,6 +26,7 @@
 /** Settings of the peer transport. */
 export interface HttpPeerTransportOptions {
   readonly secret: string;
+  /** Connections to one peer for each class. */
   readonly connectionsPerPeer: number;
   readonly connectTimeoutMs: number;
   readonly callTimeoutMs: number;
@@ -42,17 +43,19 @@
 /** Reaches peers over HTTP. */
 export class HttpPeerTransport extends PeerTransport {
   readonly #options: HttpPeerTransportOptions;
-  readonly #agent: Agent;
+  /** Apart for each class, so that no class waits for another's connections. */
+  readonly #agents: Readonly<Record<RequestClass, Agent>>;
   readonly #transports = new Map<string, Transport>();
   #services: ServiceLookup | undefined;
 
   constructor(options: HttpPeerTransportOptions) {
     super();
     this.#options = options;
-    this.#agent = new Agent({
-      connections: options.connectionsPerPeer,
-      connect: { timeout: options.connectTimeoutMs },
-    });
+    this.#agents = {
+      [RequestClass.Confirmation]: createAgent(options),
+      [RequestClass.LiveRead]: createAgent(options),
+      [RequestClass.Archive]: createAgent(options),
+    };
   }
 
   override get needs(): readonly ServiceName[] {
@@ -64,8 +67,9 @@
     return Promise.resolve();
   }
 
-  override stop(): Promise<void> {
-    return this.#agent.destroy();
+  override async stop(): Promise<void> {
+    const agents = Object.values(this.#agents);
+    await Promise.all(agents.map((agent) => agent.destroy()));
   }
 
   override connectTo(address: string): Transport {
@@ -92,7 +96,7 @@
     const clock = this.#services?.get(ServiceName.Clock);
     const nowMs = clock?.nowMs() ?? 0;
     try {
-      const answer = await this.#agent.request({
+      const answer = await this.#agents[request.requestClass].request({
         origin: `http://${address}`,
         path: forwardPath,
         method: "POST",
@@ -117,6 +121,13 @@
   }
 }
 
+function createAgent(options: HttpPeerTransportOptions): Agent {
+  return new Agent({
+    connections: options.connectionsPerPeer,
+    connect: { timeout: options.connectTimeoutMs },
+  });
+}
+
 function decodePeerFailure(header: string, address: string): RouterError {
   const text = Buffer.from(header, "base64url").toString("utf8");
   return tryDecodeFailure(text) ??
