--- a/src/services/metrics/metrics.ts
+++ b/src/services/metrics/metrics.ts
@@ -12,6 +12,7 @@
   RequestsAnswered = "requests.answered",
   RequestsRefused = "requests.refused",
   RequestsMalformed = "requests.malformed",
+  AnswersBroken = "answers.broken",
   RequestsForwarded = "requests.forwarded",
   AttemptsSent = "attempts.sent",
   AttemptsRetried = "attempts.retried",
@@ -37,6 +38,8 @@
   ProbesSent = "probes.sent",
   ListsAccepted = "lists.accepted",
   ListsRefused = "lists.refused",
+  ListsStaleIgnored = "lists.stale_ignored",
+  ListsFetchedFromPeer = "lists.fetched_from_peer",
 }
 
 /** The parts of a request's time that are recorded. */
--- a/src/types/types.ts
+++ b/src/types/types.ts
@@ -139,6 +139,8 @@
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: AsyncIterable<Uint8Array>;
+  /** Time spent in the home's queue; part of the request's wait. */
+  readonly queuedMs?: number;
 }
 
 /** One allowance: `count` requests in each window of `windowMs`. */
@@ -146,6 +148,8 @@
   readonly kind: WindowKind;
   readonly count: number;
   readonly windowMs: number;
+  /** Line of the list of allowances that sets this window. */
+  readonly listLine: number;
 }
 
 /** The two lists, accepted together under one version. */
