Stop loopback servers when a test of the transports fails

Cause: a failed assertion skipped the stop, so the test's process never ended and the whole run hung. Ruled out: a limit on the run's time, which would hide the failure's text. Change: each loopback test runs inside `use`, which stops in any case. Conclusion: a failure of these tests now ends and is printed.

--- a/src/services/backend/http_backend_transport_test.ts
+++ b/src/services/backend/http_backend_transport_test.ts
@@ -37,14 +37,16 @@
     this.#server.on("connection", () => this.connectionCount += 1);
   }
 
-  async start(): Promise<void> {
+  /** Runs a test against the started server; a failure stops it too. */
+  async use(test: () => Promise<void>): Promise<void> {
     await listen(this.#server, { host: "127.0.0.1", port: 0 });
-  }
-
-  async stop(): Promise<void> {
-    await this.transport.stop();
-    this.#server.closeAllConnections();
-    await new Promise((resolve) => this.#server.close(resolve));
+    try {
+      await test();
+    } finally {
+      await this.transport.stop();
+      this.#server.closeAllConnections();
+      await new Promise((resolve) => this.#server.close(resolve));
+    }
   }
 
   send(
@@ -122,19 +124,19 @@
           if (isSecond) text(request).then(() => request.socket.destroy());
           else echo(request, response);
         });
-        await loopback.start();
-        const first = await loopback.send("first");
-        assert.ok(first.isOk());
-        await readAll(first.value.body);
-        const second = await loopback.send("second", { method });
-        assert.ok(second.isErr());
-        assert.is(second.error.outcome, AttemptOutcome.Unknown);
-        const third = await loopback.send("third");
-        assert.ok(third.isOk());
-        assert.is(await readAll(third.value.body), "third");
-        assert.equal(loopback.received, ["first", "second", "third"]);
-        assert.is(loopback.connectionCount, 2);
-        await loopback.stop();
+        await loopback.use(async () => {
+          const first = await loopback.send("first");
+          assert.ok(first.isOk());
+          await readAll(first.value.body);
+          const second = await loopback.send("second", { method });
+          assert.ok(second.isErr());
+          assert.is(second.error.outcome, AttemptOutcome.Unknown);
+          const third = await loopback.send("third");
+          assert.ok(third.isOk());
+          assert.is(await readAll(third.value.body), "third");
+          assert.equal(loopback.received, ["first", "second", "third"]);
+          assert.is(loopback.connectionCount, 2);
+        });
       });
     }
   });
@@ -145,13 +147,13 @@
         response.writeHead(200, { "content-length": "100" });
         response.write("part", () => response.destroy());
       });
-      await loopback.start();
-      const result = await loopback.send("cut");
-      assert.ok(result.isOk());
-      let isBroken = false;
-      await readAll(result.value.body).catch(() => isBroken = true);
-      assert.ok(isBroken);
-      await loopback.stop();
+      await loopback.use(async () => {
+        const result = await loopback.send("cut");
+        assert.ok(result.isOk());
+        let isBroken = false;
+        await readAll(result.value.body).catch(() => isBroken = true);
+        assert.ok(isBroken);
+      });
     });
   });
 
@@ -163,50 +165,53 @@
         if (isFirst) held.push(() => echo(request, response));
         else echo(request, response);
       });
-      await loopback.start();
-      const caller = new AbortController();
-      const first = loopback.send("first", {}, caller.signal);
-      while (held.length === 0) {
-        await new Promise((resolve) => setImmediate(resolve));
-      }
-      caller.abort();
-      const cancelled = await first;
-      assert.ok(cancelled.isErr());
-      assert.is(cancelled.error.outcome, AttemptOutcome.Unknown);
-      const second = loopback.send("second");
-      held[0]!();
-      const answer = await second;
-      assert.ok(answer.isOk());
-      assert.is(await readAll(answer.value.body), "second");
-      await loopback.stop();
+      await loopback.use(async () => {
+        const caller = new AbortController();
+        const first = loopback.send("first", {}, caller.signal);
+        while (held.length === 0) {
+          await new Promise((resolve) => setImmediate(resolve));
+        }
+        caller.abort();
+        const cancelled = await first;
+        assert.ok(cancelled.isErr());
+        assert.is(cancelled.error.outcome, AttemptOutcome.Unknown);
+        const second = loopback.send("second");
+        held[0]!();
+        const answer = await second;
+        assert.ok(answer.isOk());
+        assert.is(await readAll(answer.value.body), "second");
+      });
     });
   });
 
   describe("outcomes", () => {
     it("are not sent when the connection is refused", async () => {
       const loopback = new Loopback(echo);
-      await loopback.start();
-      const location = createLocation(1);
-      const result = await loopback.transport.send(
-        createRequest("refused", {}),
-        location,
-        { signal: new AbortController().signal, startBeforeWallMs: 0 },
-      );
-      assert.is(result.isErr() && result.error.outcome, AttemptOutcome.NotSent);
-      await loopback.stop();
+      await loopback.use(async () => {
+        const location = createLocation(1);
+        const result = await loopback.transport.send(
+          createRequest("refused", {}),
+          location,
+          { signal: new AbortController().signal, startBeforeWallMs: 0 },
+        );
+        assert.is(
+          result.isErr() && result.error.outcome,
+          AttemptOutcome.NotSent,
+        );
+      });
     });
 
     it("are refused unrun when the server says so", async () => {
       const loopback = new Loopback((_request, response) => {
         response.writeHead(503, { "skylark-refused-unrun": "shedding" }).end();
       });
-      await loopback.start();
-      const result = await loopback.send("shed");
-      assert.is(
-        result.isErr() && result.error.outcome,
-        AttemptOutcome.RefusedUnrun,
-      );
-      await loopback.stop();
+      await loopback.use(async () => {
+        const result = await loopback.send("shed");
+        assert.is(
+          result.isErr() && result.error.outcome,
+          AttemptOutcome.RefusedUnrun,
+        );
+      });
     });
   });
 });
--- a/src/services/peers/http_forward_test.ts
+++ b/src/services/peers/http_forward_test.ts
@@ -50,7 +50,12 @@
 /** Two ends of one hop on loopback. */
 class Hop {
   readonly home: ScriptedHome;
-  readonly #server = new HttpPeerServer({ host: "127.0.0.1", port: 0, secret });
+  readonly #server = new HttpPeerServer({
+    host: "127.0.0.1",
+    port: 0,
+    secret,
+    maxHeaderBytes: 16_384,
+  });
   readonly #kernel = new Kernel();
   readonly #transport = new HttpPeerTransport({
     secret,
@@ -69,12 +74,14 @@
       .register(this.#transport);
   }
 
-  start(): Promise<void> {
-    return this.#kernel.start();
-  }
-
-  stop(): Promise<void> {
-    return this.#kernel.stop();
+  /** Runs a test against the started hop; a failure stops it too. */
+  async use(test: () => Promise<void>): Promise<void> {
+    await this.#kernel.start();
+    try {
+      await test();
+    } finally {
+      await this.#kernel.stop();
+    }
   }
 
   forward(
@@ -127,15 +134,15 @@
       const hop = new Hop(() =>
         Promise.resolve(err(new RouterError(MessageCode.NotHome, "test")))
       );
-      await hop.start();
-      const body = Buffer.from("content");
-      await hop.forward({ planRank: 7, idempotencyKey: "once", body });
-      const [received] = hop.home.received;
-      assert.is(received?.key, "schlüssel/ñ");
-      assert.is(received?.planRank, 7);
-      assert.is(received?.idempotencyKey, "once");
-      assert.is(Buffer.from(received!.body).toString(), "content");
-      await hop.stop();
+      await hop.use(async () => {
+        const body = Buffer.from("content");
+        await hop.forward({ planRank: 7, idempotencyKey: "once", body });
+        const [received] = hop.home.received;
+        assert.is(received?.key, "schlüssel/ñ");
+        assert.is(received?.planRank, 7);
+        assert.is(received?.idempotencyKey, "once");
+        assert.is(Buffer.from(received!.body).toString(), "content");
+      });
     });
   });
 
@@ -148,12 +155,12 @@
           }),
         ))
       );
-      await hop.start();
-      const result = await hop.forward();
-      assert.ok(result.isErr());
-      assert.is(result.error.code, MessageCode.BackendRefused);
-      assert.is(result.error.outcome, AttemptOutcome.RefusedUnrun);
-      await hop.stop();
+      await hop.use(async () => {
+        const result = await hop.forward();
+        assert.ok(result.isErr());
+        assert.is(result.error.code, MessageCode.BackendRefused);
+        assert.is(result.error.outcome, AttemptOutcome.RefusedUnrun);
+      });
     });
   });
 
@@ -167,17 +174,17 @@
       const hop = new Hop(() =>
         Promise.resolve(ok({ status: 200, headers: {}, body: body() }))
       );
-      await hop.start();
-      const result = await hop.forward();
-      assert.ok(result.isOk());
-      let isBroken = false;
-      try {
-        for await (const _chunk of result.value.body);
-      } catch {
-        isBroken = true;
-      }
-      assert.ok(isBroken);
-      await hop.stop();
+      await hop.use(async () => {
+        const result = await hop.forward();
+        assert.ok(result.isOk());
+        let isBroken = false;
+        try {
+          for await (const _chunk of result.value.body);
+        } catch {
+          isBroken = true;
+        }
+        assert.ok(isBroken);
+      });
     });
   });
 
@@ -191,11 +198,14 @@
         caller.abort();
         return new Promise(() => {});
       });
-      await hop.start();
-      const result = await hop.forward({}, caller.signal);
-      assert.is(result.isErr() && result.error.outcome, AttemptOutcome.Unknown);
-      await aborted;
-      await hop.stop();
+      await hop.use(async () => {
+        const result = await hop.forward({}, caller.signal);
+        assert.is(
+          result.isErr() && result.error.outcome,
+          AttemptOutcome.Unknown,
+        );
+        await aborted;
+      });
     });
   });
 });
