--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -15,7 +15,8 @@
 import { LimaDawn } from "../src/traces/lima_dawn.ts";
 import { PuddlewatchStorm } from "../src/traces/puddlewatch_storm.ts";
 import type { TraceScenario } from "../src/traces/trace_scenario.ts";
-import { Bench, BoundKind, type Figure, formatTable } from "./bench.ts";
+import { formatTable } from "../src/plots/text_table.ts";
+import { Bench, BoundKind, type Figure } from "./bench.ts";
 import {
   measurePlacement,
   type MoveModel,
@@ -73,11 +74,11 @@
 /** The placement that daemons run. */
 const defaultPlacementName = "minimum move";
 
-function createPlacements(hash: HashFunction): ReadonlyMap<string, Placement> {
+function createPlacements(): ReadonlyMap<string, Placement> {
   return new Map<string, Placement>([
-    ["rendezvous", new RendezvousPlacement({ hash })],
-    ["bounded load", new BoundedLoadPlacement({ hash })],
-    [defaultPlacementName, new MinimumMovePlacement({ hash })],
+    ["rendezvous", new RendezvousPlacement()],
+    ["bounded load", new BoundedLoadPlacement()],
+    [defaultPlacementName, new MinimumMovePlacement()],
   ]);
 }
 
@@ -94,7 +95,7 @@
   ): Promise<readonly Figure[]> {
     const hash = await createHashFunction();
     return workloads.flatMap((workload) =>
-      compareOn(workload, createPlacements(hash), { hash, print })
+      compareOn(workload, createPlacements(), { hash, print })
     );
   }
 }
--- a/src/cli/tool_error.ts
+++ b/src/cli/tool_error.ts
@@ -7,11 +7,18 @@
 /** A failure with the exit code it leads to. */
 export class ToolError extends Error {
   readonly exitCode: ToolExitCode;
+  /** The daemon was reached, but did not answer in time. */
+  readonly isTimeout: boolean;
 
-  constructor(exitCode: ToolExitCode, message: string) {
+  constructor(
+    exitCode: ToolExitCode,
+    message: string,
+    options: { readonly isTimeout?: boolean } = {},
+  ) {
     super(message);
     this.name = "ToolError";
     this.exitCode = exitCode;
+    this.isTimeout = options.isTimeout ?? false;
   }
 }
 
@@ -21,24 +28,25 @@
   const failure = ConnectError.from(error);
   const exitCode = exitCodeOf(failure.code);
   if (exitCode === ToolExitCode.Unauthorized) {
-    return createError(exitCode, MessageCode.PeerUnauthorized, { peer });
+    const { message } = new RouterError(
+      MessageCode.PeerUnauthorized,
+      "ask daemon",
+      { peer },
+    );
+    return new ToolError(exitCode, message);
   }
   if (exitCode === ToolExitCode.Unreachable) {
-    const detail = failure.rawMessage;
-    return createError(exitCode, MessageCode.PeerUnreachable, { peer, detail });
+    const { message } = new RouterError(
+      MessageCode.PeerUnreachable,
+      "ask daemon",
+      { peer, detail: failure.rawMessage },
+    );
+    const isTimeout = failure.code === Code.DeadlineExceeded;
+    return new ToolError(exitCode, message, { isTimeout });
   }
   return new ToolError(exitCode, failure.rawMessage);
 }
 
-function createError(
-  exitCode: ToolExitCode,
-  code: MessageCode,
-  facts: { readonly peer: string; readonly detail?: string },
-): ToolError {
-  const { message } = new RouterError(code, "ask daemon", facts);
-  return new ToolError(exitCode, message);
-}
-
 function exitCodeOf(code: Code): ToolExitCode {
   switch (code) {
     case Code.NotFound:
--- a/src/services/ownership/ownership.ts
+++ b/src/services/ownership/ownership.ts
@@ -35,6 +35,14 @@
   readonly queuedCount: number;
   /** The most requested keys, with their rates. */
   readonly hotKeys: readonly KeyRate[];
+  /** Requests completed in the reporting interval, for each shard with any. */
+  readonly shardCounts?: readonly ShardCount[];
+}
+
+/** Requests of one shard in a reporting interval. */
+export interface ShardCount {
+  readonly shard: number;
+  readonly completedCount: number;
 }
 
 /** The request rate of one key. */
@@ -47,8 +55,8 @@
 export interface CoordinatorStatus {
   readonly daemonId: DaemonId;
   readonly epoch: number;
-  /** Time left of the coordinator's lease; 0 when it has lapsed. */
-  readonly leaseRemainingMs: number;
+  /** Time left of the asked daemon's permit under it; 0 when it has lapsed. */
+  readonly permitRemainingMs: number;
 }
 
 /** Tells whether a home still has work in flight for parts of an assignment. */
