--- a/src/cli/tool_help.ts
+++ b/src/cli/tool_help.ts
@@ -2,7 +2,7 @@
 import type { Command } from "./command.ts";
 import { exitCodeTexts } from "./exit_code.ts";
 
-const commandColumnWidth = 38;
+const commandColumnWidth = 48;
 
 /** Renders commands, flags and exit codes. */
 export function createToolHelp(commands: readonly Command[]): string {
--- a/src/services/entry/http_caller.ts
+++ b/src/services/entry/http_caller.ts
@@ -16,7 +16,11 @@
 import { writeBody } from "./write_body.ts";
 
 const internalHeaderPrefix = "skylark-";
-const serverHeader = "skylark-server";
+/** Internal headers that callers may see. */
+const publicHeaders: ReadonlySet<string> = new Set([
+  "skylark-server",
+  "skylark-repeat",
+]);
 
 /** What a request task needs beside the exchange. */
 export interface CallerContext {
@@ -113,7 +117,7 @@
   headers: Readonly<Record<string, string>>,
 ): Record<string, string> {
   const entries = Object.entries(headers).filter(([name]) =>
-    !name.startsWith(internalHeaderPrefix) || name === serverHeader
+    !name.startsWith(internalHeaderPrefix) || publicHeaders.has(name)
   );
   return Object.fromEntries(entries);
 }
--- /dev/null
+++ b/standins/backend/slot_queue.ts
@@ -0,0 +1,52 @@
+/** A few slots behind a FIFO queue; a cancelled waiter never gets a slot. */
+
+interface Waiter {
+  readonly resolve: (isTaken: boolean) => void;
+  readonly signal: AbortSignal;
+}
+
+/** Hands out slots in the order of arrival. */
+export class SlotQueue {
+  readonly #waiting: Waiter[] = [];
+  readonly #slotCount: () => number;
+  #busyCount = 0;
+
+  constructor(slotCount: () => number) {
+    this.#slotCount = slotCount;
+  }
+
+  /** Slots in use. */
+  get busyCount(): number {
+    return this.#busyCount;
+  }
+
+  /** Requests that wait for a slot. */
+  get queuedCount(): number {
+    return this.#waiting.filter(({ signal }) => !signal.aborted).length;
+  }
+
+  /** Waits for a slot; false when the signal aborted before there was one. */
+  take(signal: AbortSignal): Promise<boolean> {
+    if (signal.aborted) return Promise.resolve(false);
+    if (this.#busyCount < this.#slotCount()) {
+      this.#busyCount += 1;
+      return Promise.resolve(true);
+    }
+    return new Promise((resolve) => {
+      this.#waiting.push({ resolve, signal });
+      signal.addEventListener("abort", () => resolve(false), { once: true });
+    });
+  }
+
+  /** Returns a slot and hands it to the next waiter. */
+  release(): void {
+    this.#busyCount -= 1;
+    while (this.#busyCount < this.#slotCount()) {
+      const next = this.#waiting.shift();
+      if (next === undefined) return;
+      if (next.signal.aborted) continue;
+      this.#busyCount += 1;
+      next.resolve(true);
+    }
+  }
+}
--- /dev/null
+++ b/standins/platform_service/platform_standin.ts
@@ -0,0 +1,110 @@
+/** The platform in small: table, object store and list of VMs over HTTP. */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { text } from "node:stream/consumers";
+import { setTimeout as delay } from "node:timers/promises";
+import type { TableWrite } from "../../src/host/platform_table.ts";
+import type { VmRecord } from "../../src/types/types.ts";
+import { PlatformState } from "../platform_state.ts";
+import { FaultState } from "./fault.ts";
+import { LaggingVmList } from "./vm_list.ts";
+
+const statusDown = 503;
+const statusBad = 400;
+
+interface Answer {
+  readonly status: number;
+  readonly body: string;
+}
+
+interface Call {
+  /** Method and path. */
+  readonly name: string;
+  readonly query: URLSearchParams;
+  readonly body: string;
+}
+
+/** One stand-in. */
+export class PlatformStandin {
+  readonly server: Server;
+  readonly #state = new PlatformState();
+  readonly #faults = new FaultState();
+  readonly #vms: LaggingVmList;
+
+  constructor(options: { readonly vmListLagMs: number }) {
+    this.#vms = new LaggingVmList(options.vmListLagMs);
+    this.server = createServer((request, response) => {
+      this.#handle(request, response).catch(() => response.destroy());
+    });
+  }
+
+  async #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(request.url ?? "/", "http://platform");
+    const name = `${request.method} ${url.pathname}`;
+    const body = await text(request);
+    if (name === "POST /fault") return this.#order(response, body);
+    const { delayMs, isDown } = this.#faults.current;
+    if (delayMs > 0) await delay(delayMs);
+    if (isDown) return void response.writeHead(statusDown).end();
+    const answer = this.#answer({ name, query: url.searchParams, body });
+    const isWrite = request.method !== "GET";
+    if (isWrite && this.#faults.losesThisAnswer()) {
+      return void response.destroy();
+    }
+    response.writeHead(answer.status).end(answer.body);
+  }
+
+  #order(response: ServerResponse, json: string): void {
+    try {
+      this.#faults.order(json);
+      response.end("ok");
+    } catch (error) {
+      response.writeHead(statusBad).end(String(error));
+    }
+  }
+
+  #answer({ name, query, body }: Call): Answer {
+    switch (name) {
+      case "GET /table/row":
+        return found(this.#state.read(query.get("key") ?? ""));
+      case "GET /table/rows":
+        return found(this.#state.list(query.get("prefix") ?? ""));
+      case "POST /table/commit":
+        return found(this.#state.commit(JSON.parse(body) as TableWrite[]));
+      case "GET /vms":
+        return found(this.#vms.visible);
+      case "POST /vms":
+        this.#state.putVm(JSON.parse(body) as VmRecord);
+        void this.#vms.publish(this.#state.vms());
+        return found("ok");
+      case "POST /vms/remove":
+        this.#state.removeVm((JSON.parse(body) as { vmId: string }).vmId);
+        void this.#vms.publish(this.#state.vms());
+        return found("ok");
+      default:
+        return this.#answerObjectCall(name, body);
+    }
+  }
+
+  #answerObjectCall(name: string, body: string): Answer {
+    const match = /^(GET|PUT) \/objects\/(.+)$/.exec(name);
+    if (match === null) return { status: 404, body: "" };
+    const objectName = decodeURIComponent(match[2] ?? "");
+    if (match[1] === "GET") return found(this.#state.getObject(objectName));
+    this.#state.putObject(objectName, body);
+    return found("ok");
+  }
+}
+
+function found(value: unknown): Answer {
+  if (value === undefined) return { status: 404, body: "" };
+  const body = typeof value === "string" ? value : JSON.stringify(value);
+  return { status: 200, body };
+}
