--- a/src/services/home/slot_home.ts
+++ b/src/services/home/slot_home.ts
@@ -200,6 +200,7 @@
       queuedAtMs,
     });
     homed.hotKeys.add(request.key);
+    homed.shardCounts.add(location.shard);
     homed.enqueue(entry);
     abort.aborted.then(() => this.#dropQueued(homed, entry));
     const result = await entry.result;
