--- a/scripts/write_documents.ts
+++ b/scripts/write_documents.ts
@@ -1,11 +1,11 @@
 /** Writes the parts of docs/ that are made from code; `npm run docs`. */
 import { readFileSync, writeFileSync } from "node:fs";
-import { replaceSettingsTable } from "../src/daemon/settings_page.ts";
+import { updateOperatingPage } from "../src/documents/operating_page.ts";
 import { createRefusalJsonSchema } from "../src/services/entry/refusal_schema.ts";
 
 const folder = new URL("../docs/", import.meta.url);
 const page = new URL("OPERATING.md", folder);
 const schema = new URL("refusal.schema.json", folder);
 
-writeFileSync(page, replaceSettingsTable(readFileSync(page, "utf8")));
+writeFileSync(page, updateOperatingPage(readFileSync(page, "utf8")));
 writeFileSync(schema, createRefusalJsonSchema());
--- a/src/cli/commands/history_command.ts
+++ b/src/cli/commands/history_command.ts
@@ -26,6 +26,11 @@
   }
 }
 
+/** A server whose home daemon changed keeps its shards. */
+function isHomeChange(move: Move): boolean {
+  return move.fromServerId !== "" && move.fromServerId === move.toServerId;
+}
+
 function formatMoves(moves: readonly Move[]): string[] {
   if (moves.length === 0) return ["no moves are remembered"];
   const columns = [
@@ -45,7 +50,7 @@
     move.reason,
     formatOptional(move.fromServerId),
     formatOptional(move.toServerId),
-    String(move.shardCount),
+    isHomeChange(move) ? "home" : String(move.shardCount),
     formatOptional(move.key),
     String(move.epoch),
     String(move.version),
--- a/src/cli/exit_code.ts
+++ b/src/cli/exit_code.ts
@@ -21,6 +21,8 @@
   Lagging = 9,
   /** The platform did not tell whether the change was accepted. */
   Unknown = 10,
+  /** The daemon answered, but the platform did not answer it. */
+  PlatformUnavailable = 11,
 }
 
 /** What each exit code means, for `--help` and for people. */
@@ -36,4 +38,5 @@
   [ToolExitCode.Partial]: "some daemons did not answer",
   [ToolExitCode.Lagging]: "accepted, but some daemons lag",
   [ToolExitCode.Unknown]: "it is not known whether the change was accepted",
+  [ToolExitCode.PlatformUnavailable]: "the platform did not answer the daemon",
 };
--- a/src/cli/fleet_status.ts
+++ b/src/cli/fleet_status.ts
@@ -80,7 +80,7 @@
     state: value?.state ?? unreachableState,
     blockers: value?.blockers ?? [],
     listsVersion,
-    isListsLagging: listsVersion < newestListsVersion,
+    isListsLagging: value !== undefined && listsVersion < newestListsVersion,
     inFlightCount: value?.inFlightCount ?? 0,
     homedServerCount: value?.homedServers.length ?? 0,
   };
--- a/src/cli/run_tool_test.ts
+++ b/src/cli/run_tool_test.ts
@@ -15,6 +15,7 @@
 
 const baseline = new URL("run_tool_baseline.txt", import.meta.url);
 
+const noFault = { isDown: false, delayMs: 0, losesWriteAnswers: false };
 const progressMark = "(progress) ";
 
 class MemoryOutput extends Output {
@@ -154,6 +155,9 @@
             "--base-version 0 --author luo",
         );
         await session.run("lists history");
+        session.fleet.platform.fault = { ...noFault, isDown: true };
+        await session.run("lists history");
+        session.fleet.platform.fault = noFault;
         await refuseOneRequest(session);
         await session.run("explain r-17");
         await session.run("explain r-18");
--- a/src/cli/tool_error.ts
+++ b/src/cli/tool_error.ts
@@ -4,6 +4,8 @@
 import { RouterError } from "../types/errors.ts";
 import { ToolExitCode } from "./exit_code.ts";
 
+const messageCodePattern = /^SR\d{4} /;
+
 /** A failure with the exit code it leads to. */
 export class ToolError extends Error {
   readonly exitCode: ToolExitCode;
@@ -26,6 +28,10 @@
 export function toToolError(error: unknown, peer: string): ToolError {
   if (error instanceof ToolError) return error;
   const failure = ConnectError.from(error);
+  if (isAnswerOfDaemon(failure) && failure.code === Code.Unavailable) {
+    const { rawMessage } = failure;
+    return new ToolError(ToolExitCode.PlatformUnavailable, rawMessage);
+  }
   const exitCode = exitCodeOf(failure.code);
   if (exitCode === ToolExitCode.Unauthorized) {
     const { message } = new RouterError(
@@ -47,6 +53,11 @@
   return new ToolError(exitCode, failure.rawMessage);
 }
 
+/** Whether a daemon refused, rather than that none was reached. */
+function isAnswerOfDaemon({ rawMessage }: ConnectError): boolean {
+  return messageCodePattern.test(rawMessage);
+}
+
 function exitCodeOf(code: Code): ToolExitCode {
   switch (code) {
     case Code.NotFound:
--- a/src/daemon/settings_text.ts
+++ b/src/daemon/settings_text.ts
@@ -1,4 +1,4 @@
-/** Renders the settings for `--help` and for docs/OPERATING.md. */
+/** Renders the settings for `--help`. */
 import { flagName } from "../command_line/command_line.ts";
 import { environmentName } from "./settings.ts";
 import {
@@ -43,28 +43,3 @@
   if (setting.defaultText === undefined) return setting.allowed;
   return `${setting.allowed} (default ${setting.defaultText})`;
 }
-
-/** The settings table of docs/OPERATING.md. */
-export function createSettingsTable(): string {
-  const header = ["Flag", "Variable", "Meaning", "Allowed", "Default"];
-  const rows = settingNames.map(getSettingDescription).map((setting) => [
-    `\`${flagName(setting.name)}\``,
-    `\`${environmentName(setting.name)}\``,
-    setting.description,
-    setting.allowed,
-    setting.isRequired ? "required" : setting.defaultText ?? "none",
-  ]);
-  return formatMarkdownTable([header, ...rows]);
-}
-
-/** Aligns the columns as the formatter does. */
-function formatMarkdownTable(rows: readonly (readonly string[])[]): string {
-  const widths = rows[0]!.map((_, column) =>
-    Math.max(...rows.map((row) => row[column]!.length))
-  );
-  const lines = rows.map((row) =>
-    `| ${row.map((cell, i) => cell.padEnd(widths[i]!)).join(" | ")} |`
-  );
-  const rule = `| ${widths.map((width) => "-".repeat(width)).join(" | ")} |`;
-  return [lines[0], rule, ...lines.slice(1)].join("\n");
-}
--- a/src/diagnostics/messages.ts
+++ b/src/diagnostics/messages.ts
@@ -93,6 +93,11 @@
   [MessageCode.Internal]: "internal error: {0}",
 };
 
+/** The text of a code, with `{0}` in place of the detail. */
+export function getMessageText(code: MessageCode): string {
+  return messageTexts[code];
+}
+
 /** Codes whose detail comes from the caller's own request or plan. */
 const codesWithPublicDetail: ReadonlySet<MessageCode> = new Set([
   MessageCode.RequestMalformed,
--- /dev/null
+++ b/src/documents/operating_page.ts
@@ -0,0 +1,81 @@
+/**
+ * The parts of docs/OPERATING.md that are made from code: settings, message
+ * codes and exit codes. `npm run docs` writes them; a test compares them.
+ */
+import { exitCodeTexts, ToolExitCode } from "../cli/exit_code.ts";
+import { flagName } from "../command_line/command_line.ts";
+import { environmentName } from "../daemon/settings.ts";
+import {
+  getSettingDescription,
+  settingNames,
+} from "../daemon/settings_schema.ts";
+import { getMessageText, MessageCode } from "../diagnostics/messages.ts";
+import { statusOfCode } from "../services/entry/refusal.ts";
+import { formatMarkdownTable } from "./markdown_table.ts";
+
+/** The parts of the page, each between two marker comments. */
+enum PageSection {
+  Settings = "settings",
+  MessageCodes = "message codes",
+  ExitCodes = "exit codes",
+}
+
+/** Replaces every part that is made from code; throws without its markers. */
+export function updateOperatingPage(page: string): string {
+  const tables: readonly (readonly [PageSection, string])[] = [
+    [PageSection.Settings, createSettingsTable()],
+    [PageSection.MessageCodes, createMessageTable()],
+    [PageSection.ExitCodes, createExitCodeTable()],
+  ];
+  return tables.reduce(
+    (text, [section, table]) => replaceSection(text, { section, table }),
+    page,
+  );
+}
+
+function replaceSection(
+  page: string,
+  part: { readonly section: PageSection; readonly table: string },
+): string {
+  const beginMarker = `<!-- ${part.section}: begin -->`;
+  const endMarker = `<!-- ${part.section}: end -->`;
+  const beginIndex = page.indexOf(beginMarker);
+  const endIndex = page.indexOf(endMarker);
+  if (beginIndex < 0 || endIndex < beginIndex) {
+    throw new Error(`the page has no markers for its ${part.section}`);
+  }
+  const head = page.slice(0, beginIndex + beginMarker.length);
+  return `${head}\n\n${part.table}\n\n${page.slice(endIndex)}`;
+}
+
+function createSettingsTable(): string {
+  const rows = settingNames.map(getSettingDescription).map((setting) => [
+    `\`${flagName(setting.name)}\``,
+    `\`${environmentName(setting.name)}\``,
+    setting.description,
+    setting.allowed,
+    setting.isRequired ? "required" : setting.defaultText ?? "none",
+  ]);
+  return formatMarkdownTable(
+    ["Flag", "Variable", "Meaning", "Allowed", "Default"],
+    rows,
+  );
+}
+
+function createMessageTable(): string {
+  const rows = Object.values(MessageCode).map((code) => [
+    code,
+    String(statusOfCode(code)),
+    getMessageText(code).replace("{0}", "…"),
+  ]);
+  return formatMarkdownTable(["Code", "HTTP status", "Message"], rows);
+}
+
+function createExitCodeTable(): string {
+  const rows = Object.entries(exitCodeTexts).map(([code, text]) => [
+    code,
+    ToolExitCode[Number(code)] ?? "",
+    text,
+  ]);
+  return formatMarkdownTable(["Code", "Name", "Meaning"], rows);
+}
--- a/src/services/entry/refusal.ts
+++ b/src/services/entry/refusal.ts
@@ -41,7 +41,7 @@
     const seconds = Math.ceil(failure.retryAfterMs / millisecondsPerSecond);
     headers["retry-after"] = String(seconds);
   }
-  return { status: statusOf(failure), headers, body };
+  return { status: statusOfCode(failure.code), headers, body };
 }
 
 function createRefusal(failure: RouterError, requestId: string): Refusal {
@@ -74,9 +74,9 @@
   response.end(refusal.body);
 }
 
-/** The HTTP status of a failure; codes not listed are a bad gateway. */
-function statusOf(failure: RouterError): number {
-  return statusByCode[failure.code] ?? statusBadGateway;
+/** The HTTP status of a code; codes not listed are a bad gateway. */
+export function statusOfCode(code: MessageCode): number {
+  return statusByCode[code] ?? statusBadGateway;
 }
 
 const statusByCode: Partial<Record<MessageCode, number>> = {
--- a/src/services/operator/locate_key.ts
+++ b/src/services/operator/locate_key.ts
@@ -52,6 +52,7 @@
   return history.findLast((move) =>
     move.service === query.service &&
     move.toServerId === location.server.serverId &&
+    move.toServerId !== move.fromServerId &&
     (move.key === undefined || move.key === query.key)
   );
 }
--- a/src/services/peers/http_peer_server.ts
+++ b/src/services/peers/http_peer_server.ts
@@ -27,6 +27,7 @@
 import { forwardPath } from "./forward_codec.ts";
 
 const statusUnauthorized = 401;
+const parserCodePrefix = "HPE_";
 const requestTimeoutMs = 60_000;
 const headersTimeoutMs = 5_000;
 /** A forwarded head travels in base64 inside another head. */
@@ -78,9 +79,12 @@
       },
       (request, response) => this.#handle(request, response),
     );
-    server.on("clientError", (_error, socket) => {
-      services.get(ServiceName.Metrics)
-        .count(CounterName.PeerErrors, MessageCode.RequestMalformed);
+    server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+      const isMalformed = error.code?.startsWith(parserCodePrefix) ?? false;
+      if (isMalformed) {
+        services.get(ServiceName.Metrics)
+          .count(CounterName.PeerErrors, MessageCode.RequestMalformed);
+      }
       socket.destroy();
     });
     this.#server = server;
--- a/src/testing/loopback_fleet.ts
+++ b/src/testing/loopback_fleet.ts
@@ -143,6 +143,17 @@
     shardCount: 2,
     key: undefined,
   },
+  {
+    service: "roster",
+    epoch: 2,
+    version: 12,
+    wallTimeMs: wallTimeMs - 30_000,
+    reason: MoveReason.HomeLost,
+    fromServerId: "roster-0",
+    toServerId: "roster-0",
+    shardCount: 0,
+    key: undefined,
+  },
   {
     service: "roster",
     epoch: 3,
