Share one allowance over the fleet through a home for each customer

Cause: an allowance is one number for the whole fleet, charged without a store write for each request, also with all callers on one daemon or a daemon lost. Change: leases from a rendezvous-ranked home in proportion to demand, reports as running totals, ledgers copied to the next daemon in rank, relays by that daemon while the home is reachable, pacing once a window is used up, refunds when nothing was sent, refusals that name limit, list line and next time.

--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -9,7 +9,9 @@
 import { SystemRandomSource } from "../host/random_source.ts";
 import { SystemClock } from "../host/system_clock.ts";
 import { Kernel } from "../kernel/kernel.ts";
-import { OpenAdmission } from "../services/admission/open_admission.ts";
+import type { AllowanceSharing } from "../services/admission/allowance_sharing.ts";
+import { DemandLeases } from "../services/admission/home_sharing.ts";
+import { SharedAdmission } from "../services/admission/shared_admission.ts";
 import { RetryingDelivery } from "../services/delivery/retrying_delivery.ts";
 import { HttpEntry } from "../services/entry/http_entry.ts";
 import { SlotHome } from "../services/home/slot_home.ts";
@@ -97,6 +99,7 @@
 export function registerDecisions(
   kernel: Kernel,
   settings: DecisionSettings,
+  sharing: AllowanceSharing = new DemandLeases(),
 ): void {
   kernel
     .register(
@@ -116,7 +119,7 @@
     .register(new SlotHome())
     .register(new RetryingDelivery())
     .register(new StoredLists())
-    .register(new OpenAdmission());
+    .register(new SharedAdmission(sharing));
 }
 
 function registerFaces(kernel: Kernel, settings: Settings): void {
--- /dev/null
+++ b/src/services/admission/account.ts
@@ -0,0 +1,50 @@
+/** An account: the use that one customer makes of one class. */
+import type { RequestClass } from "../../types/enums.ts";
+import type { AcceptedLists, AllowanceWindow } from "../../types/types.ts";
+import { ListName } from "../lists/list_schema.ts";
+
+/** Identifies an account. */
+export interface AccountKey {
+  readonly customer: string;
+  readonly requestClass: RequestClass;
+}
+
+/** What the lists in force say about an account. */
+export interface AccountLimits {
+  readonly key: AccountKey;
+  readonly plan: string;
+  /** Order of shedding under overload; the highest rank is shed last. */
+  readonly planRank: number;
+  /** Undefined when the plan does not allow the class. */
+  readonly windows: readonly AllowanceWindow[] | undefined;
+}
+
+/** A name for maps and metrics. */
+export function accountNameOf({ customer, requestClass }: AccountKey): string {
+  return `${customer}/${requestClass}`;
+}
+
+/** Finds the limits of an account; undefined for an unknown customer. */
+export function tryFindLimits(
+  lists: AcceptedLists,
+  key: AccountKey,
+): AccountLimits | undefined {
+  if (!Object.hasOwn(lists.planByCustomer, key.customer)) return undefined;
+  const plan = lists.plans[lists.planByCustomer[key.customer]!];
+  if (plan === undefined) return undefined;
+  return {
+    key,
+    plan: plan.name,
+    planRank: plan.rank,
+    windows: plan.allowances[key.requestClass],
+  };
+}
+
+/** `farms/archive/burst (plan audit, allowances.yaml:12)`. */
+export function limitNameOf(
+  limits: AccountLimits,
+  window: AllowanceWindow,
+): string {
+  return `${accountNameOf(limits.key)}/${window.kind} ` +
+    `(plan ${limits.plan}, ${ListName.Allowances}:${window.listLine})`;
+}
--- /dev/null
+++ b/src/services/admission/allowance_ledger.ts
@@ -0,0 +1,279 @@
+/**
+ * The fleet-wide use of one account, kept by its home daemon. Leases are set
+ * aside until their holder reports them as used, so the sum of what was used
+ * and what may still be used never exceeds the allowance. Reports carry
+ * running totals: a lost or repeated one changes nothing.
+ */
+import type { AllowanceWindow, DaemonId } from "../../types/types.ts";
+import type { AccountKey } from "./account.ts";
+import type {
+  AccountGrant,
+  AccountReport,
+  LedgerCopy,
+  MemberCopy,
+} from "./allowance_messages.ts";
+import { Pacer } from "./pacer.ts";
+import { SlidingWindow } from "./sliding_window.ts";
+import { WindowSet } from "./window_set.ts";
+
+interface Member {
+  readonly openedAtMs: number;
+  readonly baseTotal: number;
+  sequence: number;
+  usedTotal: number;
+  reservedCount: number;
+  reservedUntilMs: number;
+  /** Lapsed leases that were charged although nobody reported their use. */
+  presumedUsedCount: number;
+}
+
+/** What the ledger decides by. */
+export interface LedgerTerms {
+  readonly nowMs: number;
+  readonly limits: readonly AllowanceWindow[];
+  readonly leaseDurationMs: number;
+}
+
+/** Use of one account by the whole fleet. */
+export class AllowanceLedger {
+  readonly key: AccountKey;
+  readonly #windows = new WindowSet();
+  readonly #members = new Map<DaemonId, Member>();
+  readonly #pacer = new Pacer();
+  readonly #changedMembers = new Set<DaemonId>();
+  /** The daemon that has a whole copy of this ledger. */
+  copyHolder: DaemonId | undefined;
+  /** False when another daemon may have granted in the meantime. */
+  isVerified = true;
+  lastActiveAtMs: number;
+
+  constructor(key: AccountKey, nowMs: number) {
+    this.key = key;
+    this.lastActiveAtMs = nowMs;
+  }
+
+  /** Records what was used, and leases as much of the wish as is free. */
+  exchange(report: AccountReport, terms: LedgerTerms): AccountGrant {
+    const { nowMs, limits, leaseDurationMs } = terms;
+    this.lastActiveAtMs = nowMs;
+    this.#windows.configure(limits, nowMs);
+    this.#lapseLeases(nowMs);
+    const member = this.#openMember(report);
+    const isStale = report.openedAtMs < member.openedAtMs ||
+      report.sequence <= member.sequence;
+    if (isStale) {
+      return { grantedCount: 0, retryAfterMs: 0, windowKind: undefined };
+    }
+    const usedCount = report.usedTotal - member.usedTotal;
+    const returnedCount = member.reservedCount - usedCount - report.heldCount;
+    this.#pacer.giveBack(Math.max(0, returnedCount));
+    this.#recordUse(member, report, nowMs);
+    member.sequence = report.sequence;
+    member.reservedCount = report.heldCount;
+    member.reservedUntilMs = nowMs + leaseDurationMs;
+    this.#changedMembers.add(report.daemonId);
+    const wishedCount = Math.max(0, report.wantedCount - report.heldCount);
+    const grant = this.#decide(wishedCount, terms);
+    member.reservedCount += grant.grantedCount;
+    return grant;
+  }
+
+  /** Grants what every window and the pace allow. */
+  #decide(wishedCount: number, { limits, nowMs }: LedgerTerms): AccountGrant {
+    const reservedCount = this.#reservedCount();
+    const tightest = this.#windows.findTightest(limits, {
+      nowMs,
+      reservedCount,
+    });
+    const longest = findLongest(limits);
+    const chargedCount = reservedCount +
+      this.#windows.sum(longest.kind, nowMs);
+    const pacedCount = this.#pacer.limit({
+      window: longest,
+      chargedCount,
+      nowMs,
+    });
+    const freeCount = Math.max(0, tightest.freeCount);
+    const grantedCount = Math.min(wishedCount, freeCount, pacedCount);
+    this.#pacer.take(grantedCount);
+    if (grantedCount === wishedCount) {
+      return { grantedCount, retryAfterMs: 0, windowKind: undefined };
+    }
+    if (pacedCount < freeCount) {
+      const retryAfterMs = this.#pacer.retryAfterMs(longest);
+      return { grantedCount, retryAfterMs, windowKind: longest.kind };
+    }
+    const { kind, retryAfterMs } = tightest;
+    return { grantedCount, retryAfterMs, windowKind: kind };
+  }
+
+  /** Takes in what another daemon's ledger knows and this one does not. */
+  merge(copy: LedgerCopy, terms: LedgerTerms): void {
+    const { nowMs, leaseDurationMs } = terms;
+    this.lastActiveAtMs = nowMs;
+    this.#windows.configure(terms.limits, nowMs);
+    const copyAheadCount = this.#countAhead(copy.members);
+    const ownAheadCount = this.#countBehind(copy.members);
+    const isAdopting = copy.windows !== undefined &&
+      copyAheadCount >= ownAheadCount;
+    if (isAdopting) {
+      this.#adoptWindows(copy, terms);
+      this.#windows.add(nowMs, ownAheadCount);
+    } else this.#windows.add(nowMs, copyAheadCount);
+    for (const member of copy.members) {
+      const known = this.#members.get(member.daemonId);
+      const isKept = known !== undefined &&
+        (isAdopting ? isNewer(known, member) : !isNewer(member, known));
+      if (isKept) continue;
+      const reservedUntilMs = nowMs + leaseDurationMs;
+      this.#members.set(member.daemonId, { ...member, reservedUntilMs });
+    }
+  }
+
+  /** The whole ledger. */
+  toCopy(nowMs: number): LedgerCopy {
+    const windows = [...this.#windows.entries()].map(([kind, window]) => ({
+      kind,
+      windowMs: window.windowMs,
+      counts: window.toCounts(nowMs),
+    }));
+    const members = [...this.#members.keys()].map((id) => this.#copyOf(id));
+    return { key: this.key, members, windows };
+  }
+
+  /** The members that changed since the last call; undefined when none did. */
+  takeChanges(): LedgerCopy | undefined {
+    if (this.#changedMembers.size === 0) return undefined;
+    const members = [...this.#changedMembers].map((id) => this.#copyOf(id));
+    this.#changedMembers.clear();
+    return { key: this.key, members, windows: undefined };
+  }
+
+  #copyOf(daemonId: DaemonId): MemberCopy {
+    const member = this.#members.get(daemonId)!;
+    return {
+      daemonId,
+      openedAtMs: member.openedAtMs,
+      sequence: member.sequence,
+      usedTotal: member.usedTotal,
+      baseTotal: member.baseTotal,
+      reservedCount: member.reservedCount,
+      presumedUsedCount: member.presumedUsedCount,
+    };
+  }
+
+  /** A new member's use before this ledger began counts from now on. */
+  #openMember(report: AccountReport): Member {
+    const known = this.#members.get(report.daemonId);
+    if (known !== undefined && known.openedAtMs >= report.openedAtMs) {
+      return known;
+    }
+    const baseTotal = report.usedTotal - report.recentCount;
+    const member: Member = {
+      openedAtMs: report.openedAtMs,
+      baseTotal,
+      sequence: -1,
+      usedTotal: baseTotal,
+      reservedCount: 0,
+      reservedUntilMs: 0,
+      presumedUsedCount: 0,
+    };
+    this.#members.set(report.daemonId, member);
+    return member;
+  }
+
+  #recordUse(member: Member, report: AccountReport, nowMs: number): void {
+    let newCount = report.usedTotal - member.usedTotal;
+    member.usedTotal = report.usedTotal;
+    const presumed = Math.min(member.presumedUsedCount, Math.max(0, newCount));
+    member.presumedUsedCount = 0;
+    newCount -= presumed;
+    for (const { ageMs, count } of report.uses) {
+      const slotCount = Math.min(count, Math.max(0, newCount));
+      this.#windows.add(nowMs, slotCount, ageMs);
+      newCount -= slotCount;
+    }
+    this.#windows.add(nowMs, newCount);
+  }
+
+  /** Charges leases whose holder has fallen silent. */
+  #lapseLeases(nowMs: number): void {
+    for (const member of this.#members.values()) {
+      if (member.reservedCount === 0) continue;
+      if (nowMs < member.reservedUntilMs) continue;
+      this.#windows.add(nowMs, member.reservedCount);
+      member.presumedUsedCount += member.reservedCount;
+      member.reservedCount = 0;
+    }
+  }
+
+  #reservedCount(): number {
+    let sum = 0;
+    for (const { reservedCount } of this.#members.values()) {
+      sum += reservedCount;
+    }
+    return sum;
+  }
+
+  /** Uses that the copy knows of and this ledger does not. */
+  #countAhead(members: readonly MemberCopy[]): number {
+    let sum = 0;
+    for (const copied of members) {
+      const known = this.#members.get(copied.daemonId);
+      if (known !== undefined && !isNewer(copied, known)) continue;
+      sum += copied.usedTotal - findStartTotal(copied, known);
+    }
+    return Math.max(0, sum);
+  }
+
+  /** Uses that this ledger knows of and the copy does not. */
+  #countBehind(members: readonly MemberCopy[]): number {
+    let sum = 0;
+    for (const copied of members) {
+      const known = this.#members.get(copied.daemonId);
+      if (known === undefined || !isNewer(known, copied)) continue;
+      sum += known.usedTotal - findStartTotal(known, copied);
+    }
+    return Math.max(0, sum);
+  }
+
+  #adoptWindows(copy: LedgerCopy, { limits, nowMs }: LedgerTerms): void {
+    for (const { kind, windowMs } of limits) {
+      const copied = copy.windows?.find((window) => window.kind === kind);
+      if (copied === undefined) continue;
+      this.#windows.replace(
+        kind,
+        SlidingWindow.fromCounts(windowMs, copied.counts, {
+          countedWindowMs: copied.windowMs,
+          nowMs,
+        }),
+      );
+    }
+  }
+}
+
+function findLongest(limits: readonly AllowanceWindow[]): AllowanceWindow {
+  return limits.reduce((longest, window) =>
+    window.windowMs > longest.windowMs ? window : longest
+  );
+}
+
+type MemberState = Pick<
+  MemberCopy,
+  "openedAtMs" | "sequence" | "usedTotal" | "baseTotal"
+>;
+
+function isNewer(one: MemberState, other: MemberState): boolean {
+  return one.openedAtMs > other.openedAtMs ||
+    (one.openedAtMs === other.openedAtMs && one.sequence > other.sequence);
+}
+
+/** The total from which the newer state's uses are not yet known. */
+function findStartTotal(
+  newer: MemberState,
+  older: MemberState | undefined,
+): number {
+  return older?.openedAtMs === newer.openedAtMs
+    ? older.usedTotal
+    : newer.baseTotal;
+}
--- /dev/null
+++ b/src/services/admission/connect_allowance.ts
@@ -0,0 +1,156 @@
+/** Allowance messages between daemons over Connect. */
+import { createClient } from "@connectrpc/connect";
+import { err, ok, type Result } from "neverthrow";
+import { MessageCode } from "../../diagnostics/messages.ts";
+import { AllowanceService } from "../../gen/skylarkridge/v1/allowance_pb.ts";
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { RouterError, toRouterError } from "../../types/errors.ts";
+import type { DaemonInfo } from "../../types/types.ts";
+import type { AccountKey } from "./account.ts";
+import {
+  decodeGrant,
+  decodeKey,
+  decodeLedger,
+  decodeReport,
+  encodeGrant,
+  encodeLedger,
+  encodeReport,
+} from "./allowance_codec.ts";
+import type {
+  AccountGrant,
+  AccountReport,
+  LedgerCopy,
+} from "./allowance_messages.ts";
+import { AllowancePeers } from "./allowance_peers.ts";
+import type { LedgerKeeper } from "./ledger_keeper.ts";
+
+/** Offers this daemon's ledgers on the peer listener. */
+export function registerAllowanceService(
+  services: ServiceLookup,
+  keeper: LedgerKeeper,
+): void {
+  services.get(ServiceName.PeerServer).addService(AllowanceService, {
+    exchange: async ({ daemonId, reports, isRelayed }) => {
+      const grants = await Promise.all(
+        reports.map((report) =>
+          keeper.exchange(decodeReport(report, daemonId), { isRelayed })
+        ),
+      );
+      return { grants: grants.map(encodeGrant) };
+    },
+    replicate: ({ daemonId, copies }) => {
+      for (const copy of copies) {
+        keeper.receiveCopy(decodeLedger(copy), daemonId);
+      }
+      return {};
+    },
+    fetchLedger: ({ account }) => {
+      const copy = keeper.tryCopy(decodeKey(account));
+      return copy === undefined ? {} : { copy: encodeLedger(copy) };
+    },
+  });
+}
+
+/** How long to wait for a peer. */
+export interface AllowanceTimeouts {
+  /** For an entry's own report. */
+  readonly exchangeTimeoutMs: number;
+  /** For calls that another daemon's report waits for. */
+  readonly relayTimeoutMs: number;
+}
+
+/** Calls peers over Connect. */
+export class ConnectAllowancePeers extends AllowancePeers {
+  readonly #services: ServiceLookup;
+  readonly #timeouts: AllowanceTimeouts;
+
+  constructor(services: ServiceLookup, timeouts: AllowanceTimeouts) {
+    super();
+    this.#services = services;
+    this.#timeouts = timeouts;
+  }
+
+  override exchange(
+    peer: DaemonInfo,
+    reports: readonly AccountReport[],
+    { isRelayed }: { readonly isRelayed: boolean },
+  ): Promise<Result<readonly (AccountGrant | undefined)[], RouterError>> {
+    const daemonId = reports[0]?.daemonId ?? "";
+    const { exchangeTimeoutMs, relayTimeoutMs } = this.#timeouts;
+    const timeoutMs = isRelayed ? relayTimeoutMs : exchangeTimeoutMs;
+    const step = "exchange allowances";
+    return this.#call(peer, { step, timeoutMs }, async () => {
+      const { grants } = await this.#clientOf(peer).exchange({
+        daemonId,
+        reports: reports.map(encodeReport),
+        isRelayed,
+      });
+      return grants.map(decodeGrant);
+    });
+  }
+
+  override replicate(
+    peer: DaemonInfo,
+    copies: readonly LedgerCopy[],
+  ): Promise<Result<void, RouterError>> {
+    const { daemonId } = this.#services.get(ServiceName.Membership).self();
+    const { exchangeTimeoutMs: timeoutMs } = this.#timeouts;
+    const step = "replicate ledgers";
+    return this.#call(peer, { step, timeoutMs }, async () => {
+      await this.#clientOf(peer).replicate({
+        daemonId,
+        copies: copies.map(encodeLedger),
+      });
+    });
+  }
+
+  override fetchLedger(
+    peer: DaemonInfo,
+    key: AccountKey,
+  ): Promise<Result<LedgerCopy | undefined, RouterError>> {
+    const { relayTimeoutMs: timeoutMs } = this.#timeouts;
+    const step = "fetch ledger";
+    return this.#call(peer, { step, timeoutMs }, async () => {
+      const { copy } = await this.#clientOf(peer)
+        .fetchLedger({ account: key });
+      return copy === undefined ? undefined : decodeLedger(copy);
+    });
+  }
+
+  #clientOf(peer: DaemonInfo) {
+    const transport = this.#services.get(ServiceName.PeerTransport)
+      .connectTo(peer.address);
+    return createClient(AllowanceService, transport);
+  }
+
+  /** Runs a call; one that takes too long fails without being waited for. */
+  async #call<T>(
+    peer: DaemonInfo,
+    { step, timeoutMs }: { readonly step: string; readonly timeoutMs: number },
+    call: () => Promise<T>,
+  ): Promise<Result<T, RouterError>> {
+    const clock = this.#services.get(ServiceName.Clock);
+    const finished = new AbortController();
+    const called = call().then(
+      (value): Result<T, RouterError> => ok(value),
+      (error): Result<T, RouterError> =>
+        err(toRouterError(error, MessageCode.PeerUnreachable, {
+          step,
+          peer: peer.daemonId,
+        })),
+    );
+    const timedOut = clock.sleep(timeoutMs, finished.signal)
+      .then((): Result<T, RouterError> =>
+        err(
+          new RouterError(MessageCode.PeerUnreachable, step, {
+            peer: peer.daemonId,
+            detail: "timed out",
+          }),
+        )
+      );
+    const result = await Promise.race([called, timedOut]);
+    finished.abort();
+    return result;
+  }
+}
--- /dev/null
+++ b/src/services/admission/equal_shares.ts
@@ -0,0 +1,51 @@
+/** Gives each daemon the same part of an allowance; sends no messages. */
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import type { AccountLimits } from "./account.ts";
+import { AccountTable } from "./account_table.ts";
+import { AllowanceSharing } from "./allowance_sharing.ts";
+import type { EntryAccount, LimitRefusal } from "./entry_account.ts";
+import { HomeRanking } from "./home_ranking.ts";
+
+/** Divides by the number of daemons. */
+export class EqualShares extends AllowanceSharing {
+  readonly #accounts = new AccountTable();
+  #services: ServiceLookup | undefined;
+  #ranking: HomeRanking | undefined;
+
+  override async start(services: ServiceLookup): Promise<void> {
+    this.#services = services;
+    this.#ranking = await HomeRanking.open(services);
+  }
+
+  override stop(): Promise<void> {
+    this.#ranking?.close();
+    return Promise.resolve();
+  }
+
+  override charge(
+    limits: AccountLimits,
+    _signal: AbortSignal,
+  ): Promise<LimitRefusal | undefined> {
+    const nowMs = this.#nowMs();
+    const account = this.#accounts.open(limits, nowMs);
+    account.noteDemand(limits, nowMs);
+    return Promise.resolve(account.chargeShare(nowMs, this.daemonCount()));
+  }
+
+  override refund(limits: AccountLimits): void {
+    this.#accounts.tryGet(limits)?.refund(this.#nowMs());
+  }
+
+  override accounts(): readonly EntryAccount[] {
+    return this.#accounts.list();
+  }
+
+  override daemonCount(): number {
+    return this.#ranking!.daemonCount();
+  }
+
+  #nowMs(): number {
+    return this.#services!.get(ServiceName.Clock).nowMs();
+  }
+}
--- /dev/null
+++ b/src/services/admission/home_link.ts
@@ -0,0 +1,122 @@
+/**
+ * The task that exchanges allowances with one home daemon: it sends one
+ * message for all accounts of that home, at an interval while there is use,
+ * and at once when a request waits.
+ */
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { Wakeup } from "../../streams/wakeup.ts";
+import type { DaemonInfo } from "../../types/types.ts";
+import type { AccountGrant, AccountReport } from "./allowance_messages.ts";
+import type { AllowancePeers } from "./allowance_peers.ts";
+import type { EntryAccount } from "./entry_account.ts";
+import type { LedgerKeeper, LedgerTimes } from "./ledger_keeper.ts";
+import type { PeerSuspicion } from "./peer_suspicion.ts";
+
+/** What a link works with. */
+export interface HomeLinkParts {
+  readonly services: ServiceLookup;
+  readonly peers: AllowancePeers;
+  readonly keeper: LedgerKeeper;
+  readonly suspicion: PeerSuspicion;
+  readonly times: LedgerTimes;
+  /** For how long leased requests should last. */
+  readonly prefetchDurationMs: number;
+}
+
+/** Turns without anything to report after which the task ends. */
+const maxIdleTurnCount = 100;
+
+/** The way to one home. */
+export class HomeLink {
+  readonly home: DaemonInfo;
+  readonly #parts: HomeLinkParts;
+  readonly #accounts = new Set<EntryAccount>();
+  readonly #wakeup = new Wakeup();
+  #isEnded = false;
+
+  constructor(home: DaemonInfo, parts: HomeLinkParts) {
+    this.home = home;
+    this.#parts = parts;
+  }
+
+  /** Includes an account in the next message, which is sent at once. */
+  request(account: EntryAccount): void {
+    account.homeDaemonId = this.home.daemonId;
+    this.#accounts.add(account);
+    this.#wakeup.wake();
+  }
+
+  /** Whether the task has ended; a new link must be opened. */
+  isEnded(): boolean {
+    return this.#isEnded;
+  }
+
+  /** Exchanges until stopped, or until nothing was used for a while. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { services, times } = this.#parts;
+    const clock = services.get(ServiceName.Clock);
+    let idleTurnCount = 0;
+    while (!signal.aborted && idleTurnCount < maxIdleTurnCount) {
+      await this.#wakeup.sleep(clock, times.syncIntervalMs, signal);
+      const due = this.#takeDue();
+      idleTurnCount = due.length === 0 ? idleTurnCount + 1 : 0;
+      if (due.length > 0) await this.#exchange(due);
+    }
+    this.#isEnded = true;
+    for (const account of this.#accounts) {
+      if (account.homeDaemonId !== this.home.daemonId) continue;
+      account.releaseWaiters();
+    }
+  }
+
+  /** Accounts to report; those that have another home by now are left out. */
+  #takeDue(): readonly EntryAccount[] {
+    for (const account of this.#accounts) {
+      if (account.homeDaemonId === this.home.daemonId) continue;
+      this.#accounts.delete(account);
+    }
+    return [...this.#accounts].filter((account) => account.needsReport());
+  }
+
+  async #exchange(accounts: readonly EntryAccount[]): Promise<void> {
+    const { services, times, prefetchDurationMs } = this.#parts;
+    const clock = services.get(ServiceName.Clock);
+    const { daemonId } = services.get(ServiceName.Membership).self();
+    const sentAtMs = clock.nowMs();
+    const reports = accounts.map((account) =>
+      account.createReport({ daemonId, nowMs: sentAtMs, prefetchDurationMs })
+    );
+    const grants = await this.#send(reports);
+    const nowMs = clock.nowMs();
+    const { leaseDurationMs } = times;
+    for (const [index, account] of accounts.entries()) {
+      const grant = grants[index];
+      if (grant === undefined) {
+        this.#accounts.delete(account);
+        account.releaseWaiters();
+      } else account.acceptGrant(grant, { sentAtMs, nowMs, leaseDurationMs });
+    }
+  }
+
+  /** Sends reports; a grant is undefined when the home did not decide. */
+  async #send(
+    reports: readonly AccountReport[],
+  ): Promise<readonly (AccountGrant | undefined)[]> {
+    const { services, keeper, peers, suspicion } = this.#parts;
+    const { daemonId } = services.get(ServiceName.Membership).self();
+    if (this.home.daemonId === daemonId) {
+      return await Promise.all(
+        reports.map((report) => keeper.exchange(report, { isRelayed: false })),
+      );
+    }
+    const answered = await peers.exchange(this.home, reports, {
+      isRelayed: false,
+    });
+    if (answered.isOk() && answered.value.every((g) => g !== undefined)) {
+      return answered.value;
+    }
+    suspicion.suspect(this.home);
+    return answered.isOk() ? answered.value : [];
+  }
+}
--- /dev/null
+++ b/src/services/admission/home_sharing.ts
@@ -0,0 +1,167 @@
+/**
+ * Shares allowances through a home daemon for each customer. The home leases
+ * requests to the entries; how far ahead they lease is what differs between
+ * the two ways defined here.
+ */
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import type { DaemonId, DaemonInfo } from "../../types/types.ts";
+import type { AccountLimits } from "./account.ts";
+import { AccountTable } from "./account_table.ts";
+import { AllowanceSharing } from "./allowance_sharing.ts";
+import {
+  ConnectAllowancePeers,
+  registerAllowanceService,
+} from "./connect_allowance.ts";
+import type { EntryAccount, LimitRefusal } from "./entry_account.ts";
+import { HomeLink, type HomeLinkParts } from "./home_link.ts";
+import { HomeRanking } from "./home_ranking.ts";
+import { LedgerKeeper, type LedgerTimes } from "./ledger_keeper.ts";
+import { PeerSuspicion } from "./peer_suspicion.ts";
+
+const times: LedgerTimes = {
+  syncIntervalMs: 100,
+  leaseDurationMs: 1_000,
+  probeIntervalMs: 500,
+};
+const exchangeTimeoutMs = 200;
+/** Short, since an entry waits for the relaying daemon meanwhile. */
+const relayTimeoutMs = 60;
+/** Longest wait of a request for an answer of the home. */
+const maxWaitMs = 400;
+const idleCheckIntervalMs = 1_000;
+
+/** A fleet-wide allowance behind a home daemon. */
+export abstract class HomeSharing extends AllowanceSharing {
+  readonly #accounts = new AccountTable();
+  readonly #links = new Map<DaemonId, HomeLink>();
+  readonly #tasks = new Set<Promise<void>>();
+  readonly #stopping = new AbortController();
+  #parts: HomeLinkParts | undefined;
+  #ranking: HomeRanking | undefined;
+
+  /** For how long the requests leased ahead should last; 0 for none. */
+  protected abstract prefetchDurationMs(syncIntervalMs: number): number;
+
+  override async start(services: ServiceLookup): Promise<void> {
+    const ranking = await HomeRanking.open(services);
+    const suspicion = new PeerSuspicion();
+    const peers = new ConnectAllowancePeers(services, {
+      exchangeTimeoutMs,
+      relayTimeoutMs,
+    });
+    const keeper = new LedgerKeeper({
+      services,
+      peers,
+      ranking,
+      suspicion,
+      times,
+    });
+    registerAllowanceService(services, keeper);
+    const prefetchDurationMs = this.prefetchDurationMs(times.syncIntervalMs);
+    this.#ranking = ranking;
+    this.#parts = {
+      services,
+      peers,
+      keeper,
+      suspicion,
+      times,
+      prefetchDurationMs,
+    };
+    this.#run(keeper.replicateUntilStopped(this.#stopping.signal));
+    this.#run(this.#dropIdleUntilStopped(services));
+  }
+
+  override async stop(): Promise<void> {
+    this.#stopping.abort();
+    this.#ranking?.close();
+    await Promise.all(this.#tasks);
+  }
+
+  override async charge(
+    limits: AccountLimits,
+    signal: AbortSignal,
+  ): Promise<LimitRefusal | undefined> {
+    const clock = this.#parts!.services.get(ServiceName.Clock);
+    const account = this.#accounts.open(limits, clock.nowMs());
+    account.noteDemand(limits, clock.nowMs());
+    const giveUpAtMs = clock.nowMs() + maxWaitMs;
+    for (;;) {
+      const nowMs = clock.nowMs();
+      if (account.tryTake(nowMs)) return undefined;
+      const refusal = account.tryGetRefusal(nowMs);
+      if (refusal !== undefined) return refusal;
+      const home = this.#chooseHome(limits.key.customer);
+      const mayWait = nowMs < giveUpAtMs && !signal.aborted &&
+        !this.#stopping.signal.aborted;
+      if (home === undefined || !mayWait) {
+        return account.chargeShare(nowMs, this.daemonCount());
+      }
+      const answered = account.waitForAnswer();
+      this.#linkTo(home).request(account);
+      await answered;
+    }
+  }
+
+  override refund(limits: AccountLimits): void {
+    const { services } = this.#parts!;
+    this.#accounts.tryGet(limits)
+      ?.refund(services.get(ServiceName.Clock).nowMs());
+  }
+
+  override accounts(): readonly EntryAccount[] {
+    return this.#accounts.list();
+  }
+
+  override daemonCount(): number {
+    return this.#ranking!.daemonCount();
+  }
+
+  /** The first daemon in rank that can be reached. */
+  #chooseHome(customer: string): DaemonInfo | undefined {
+    return this.#ranking!.rank(customer)
+      .find(({ daemonId }) => !this.#parts!.suspicion.isSuspect(daemonId));
+  }
+
+  #linkTo(home: DaemonInfo): HomeLink {
+    const known = this.#links.get(home.daemonId);
+    if (known !== undefined && !known.isEnded()) return known;
+    const link = new HomeLink(home, this.#parts!);
+    this.#links.set(home.daemonId, link);
+    this.#run(link.run(this.#stopping.signal));
+    return link;
+  }
+
+  #run(task: Promise<void>): void {
+    this.#tasks.add(task);
+    task.finally(() => this.#tasks.delete(task));
+  }
+
+  async #dropIdleUntilStopped(services: ServiceLookup): Promise<void> {
+    const clock = services.get(ServiceName.Clock);
+    const { signal } = this.#stopping;
+    while (!signal.aborted) {
+      await clock.sleep(idleCheckIntervalMs, signal);
+      this.#accounts.dropIdle(clock.nowMs());
+      for (const [homeId, link] of this.#links) {
+        if (link.isEnded()) this.#links.delete(homeId);
+      }
+    }
+  }
+}
+
+/** Leases ahead in proportion to the demand at each entry. */
+export class DemandLeases extends HomeSharing {
+  static readonly #prefetchIntervals = 1.5;
+
+  protected override prefetchDurationMs(syncIntervalMs: number): number {
+    return syncIntervalMs * DemandLeases.#prefetchIntervals;
+  }
+}
+
+/** Asks the home for each request; waiting requests share a message. */
+export class PureHome extends HomeSharing {
+  protected override prefetchDurationMs(_syncIntervalMs: number): number {
+    return 0;
+  }
+}
--- /dev/null
+++ b/src/services/admission/ledger_keeper_test.ts
@@ -0,0 +1,194 @@
+import { err, ok, type Result } from "neverthrow";
+import * as assert from "uvu/assert";
+import { MessageCode } from "../../diagnostics/messages.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { describe, it } from "../../testing/describe.ts";
+import { settleWithin, TestFleet } from "../../testing/test_fleet.ts";
+import { createListTexts } from "../../testing/test_lists.ts";
+import { RequestClass } from "../../types/enums.ts";
+import { RouterError } from "../../types/errors.ts";
+import type { DaemonInfo } from "../../types/types.ts";
+import type { AccountKey } from "./account.ts";
+import type {
+  AccountGrant,
+  AccountReport,
+  LedgerCopy,
+} from "./allowance_messages.ts";
+import { AllowancePeers } from "./allowance_peers.ts";
+import { HomeRanking } from "./home_ranking.ts";
+import { LedgerKeeper } from "./ledger_keeper.ts";
+import { PeerSuspicion } from "./peer_suspicion.ts";
+
+const key: AccountKey = {
+  customer: "customer",
+  requestClass: RequestClass.LiveRead,
+};
+const allowedCount = 50;
+const times = {
+  syncIntervalMs: 100,
+  leaseDurationMs: 1_000,
+  probeIntervalMs: 500,
+};
+
+/** Keepers that call each other directly, unless one is unreachable. */
+class MemoryPeers extends AllowancePeers {
+  readonly keepers = new Map<string, LedgerKeeper>();
+  readonly unreachable = new Set<string>();
+
+  override async exchange(
+    peer: DaemonInfo,
+    reports: readonly AccountReport[],
+    options: { readonly isRelayed: boolean },
+  ): Promise<Result<readonly (AccountGrant | undefined)[], RouterError>> {
+    const keeper = this.#tryReach(peer);
+    if (keeper === undefined) return err(createUnreachable(peer));
+    return ok(
+      await Promise.all(reports.map((r) => keeper.exchange(r, options))),
+    );
+  }
+
+  override replicate(
+    peer: DaemonInfo,
+    copies: readonly LedgerCopy[],
+  ): Promise<Result<void, RouterError>> {
+    const keeper = this.#tryReach(peer);
+    if (keeper === undefined) {
+      return Promise.resolve(err(createUnreachable(peer)));
+    }
+    for (const copy of copies) keeper.receiveCopy(copy, "sender");
+    return Promise.resolve(ok(undefined));
+  }
+
+  override fetchLedger(
+    peer: DaemonInfo,
+    account: AccountKey,
+  ): Promise<Result<LedgerCopy | undefined, RouterError>> {
+    const keeper = this.#tryReach(peer);
+    return Promise.resolve(
+      keeper === undefined
+        ? err(createUnreachable(peer))
+        : ok(keeper.tryCopy(account)),
+    );
+  }
+
+  #tryReach({ daemonId }: DaemonInfo): LedgerKeeper | undefined {
+    if (this.unreachable.has(daemonId)) return undefined;
+    return this.keepers.get(daemonId);
+  }
+}
+
+function createUnreachable({ daemonId }: DaemonInfo): RouterError {
+  return new RouterError(MessageCode.PeerUnreachable, "call", {
+    peer: daemonId,
+  });
+}
+
+/** Keepers of a small fleet in the order of their rank for the customer. */
+async function openKeepers(seed: number) {
+  const fleet = new TestFleet({ seed, daemonCount: 4, serverCount: 1 });
+  await fleet.start();
+  const texts = createListTexts({
+    burstCount: allowedCount,
+    burstWindowMs: 60_000,
+    sustainedCount: 100,
+    sustainedWindowMs: 120_000,
+  });
+  const applied = fleet.daemons[0]!.kernel.get(ServiceName.Lists)
+    .apply(texts, { baseVersion: 0, author: "ana" });
+  (await settleWithin(fleet.clock, applied, 5_000))._unsafeUnwrap();
+  await fleet.clock.advance(3_000);
+  const peers = new MemoryPeers();
+  const ranking = await HomeRanking.open(fleet.daemons[0]!.kernel);
+  const ranked = ranking.rank(key.customer);
+  ranking.close();
+  const open = async ({ daemonId }: DaemonInfo) => {
+    const daemon = fleet.daemons.find((d) => d.daemonId === daemonId)!;
+    const keeper = new LedgerKeeper({
+      services: daemon.kernel,
+      peers,
+      ranking: await HomeRanking.open(daemon.kernel),
+      suspicion: new PeerSuspicion(),
+      times,
+    });
+    peers.keepers.set(daemonId, keeper);
+    return keeper;
+  };
+  const [home, standby] = ranked as [DaemonInfo, DaemonInfo];
+  return { fleet, peers, home, standby, open };
+}
+
+function createWish(daemonId: string, wantedCount: number): AccountReport {
+  return {
+    daemonId,
+    key,
+    openedAtMs: 0,
+    sequence: 1,
+    usedTotal: 0,
+    recentCount: 0,
+    heldCount: 0,
+    wantedCount,
+    uses: [],
+  };
+}
+
+describe("LedgerKeeper", () => {
+  describe("a report that reaches a daemon of lower rank", () => {
+    it("is decided by the home while that can be reached", async () => {
+      const { fleet, home, standby, open } = await openKeepers(71);
+      const first = await open(home);
+      const second = await open(standby);
+      const one = await first
+        .exchange(createWish("a", 30), { isRelayed: false });
+      const other = await second
+        .exchange(createWish("b", 30), { isRelayed: false });
+      assert.is(one?.grantedCount, 30);
+      assert.is(other?.grantedCount, 20);
+      assert.is(second.ledgerCount(), 0);
+      await fleet.stop();
+    });
+
+    it("is decided there when the home is gone", async () => {
+      const { fleet, peers, home, standby, open } = await openKeepers(72);
+      const first = await open(home);
+      const second = await open(standby);
+      await first.exchange(createWish("a", 30), { isRelayed: false });
+      await first.replicateOnce();
+      peers.unreachable.add(home.daemonId);
+      const other = await second
+        .exchange(createWish("b", 30), { isRelayed: false });
+      assert.is(other?.grantedCount, 20);
+      await fleet.stop();
+    });
+  });
+
+  describe("a daemon that becomes home", () => {
+    it("first takes over what the last home granted", async () => {
+      const { fleet, home, standby, open } = await openKeepers(73);
+      const last = await open(standby);
+      await last.exchange(createWish("a", 40), { isRelayed: true });
+      const joined = await open(home);
+      const grant = await joined
+        .exchange(createWish("b", 30), { isRelayed: false });
+      assert.is(grant?.grantedCount, 10);
+      await fleet.stop();
+    });
+  });
+
+  describe("a home that was frozen", () => {
+    it("first learns what was granted in its place", async () => {
+      const { fleet, peers, home, standby, open } = await openKeepers(74);
+      const first = await open(home);
+      const second = await open(standby);
+      await first.exchange(createWish("a", 10), { isRelayed: false });
+      await first.replicateOnce();
+      peers.unreachable.add(home.daemonId);
+      await fleet.clock.advance(2_000);
+      await second.exchange(createWish("b", 30), { isRelayed: false });
+      peers.unreachable.clear();
+      const grant = await first
+        .exchange(createWish("c", 50), { isRelayed: false });
+      assert.is(grant?.grantedCount, 10);
+      await fleet.stop();
+    });
+  });
+});
--- a/src/services/entry/http_entry.ts
+++ b/src/services/entry/http_entry.ts
@@ -13,7 +13,11 @@
 import { MessageCode } from "../../diagnostics/messages.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
-import { DaemonState } from "../../types/enums.ts";
+import {
+  AttemptOutcome,
+  DaemonState,
+  ListsFreshness,
+} from "../../types/enums.ts";
 import { RouterError, toRouterError } from "../../types/errors.ts";
 import { CounterName, TimingName } from "../metrics/metrics.ts";
 import { type HttpExchange } from "../peers/forward_handler.ts";
@@ -60,6 +64,7 @@
       ServiceName.Random,
       ServiceName.Metrics,
       ServiceName.Ownership,
+      ServiceName.Lists,
       ServiceName.Admission,
       ServiceName.Delivery,
     ];
@@ -134,17 +139,31 @@
     if (ticket.isErr()) throw ticket.error;
     const result = await services.get(ServiceName.Delivery)
       .deliver(routed, cancelled);
-    if (result.isErr()) throw result.error;
+    if (result.isErr()) {
+      const { outcome } = result.error;
+      if (outcome === AttemptOutcome.NotSent) ticket.value.refund();
+      throw result.error;
+    }
     response.writeHead(result.value.status, { ...result.value.headers });
     await writeBody(response, result.value.body);
     metrics.count(CounterName.RequestsAnswered);
     metrics.record(TimingName.Total, clock.nowMs() - startedAtMs, routed);
   }
 
+  /** A daemon without lists is still starting: it would refuse everyone. */
+  #daemonState(): DaemonState {
+    if (this.#state !== DaemonState.Ready) return this.#state;
+    const freshness = this.#services!.get(ServiceName.Lists).freshness();
+    return freshness === ListsFreshness.Missing
+      ? DaemonState.Starting
+      : DaemonState.Ready;
+  }
+
   #sendReadiness(response: ServerResponse): void {
-    const isReady = this.#state === DaemonState.Ready;
+    const state = this.#daemonState();
+    const isReady = state === DaemonState.Ready;
     response.writeHead(isReady ? statusOk : statusUnavailable);
-    response.end(`${this.#state}\n`);
+    response.end(`${state}\n`);
   }
 }
 
--- /dev/null
+++ b/src/testing/allowance_scenario.ts
@@ -0,0 +1,216 @@
+/**
+ * One customer beyond its allowance on a fleet of 12, with a fault half-way:
+ * shared by the tests of admission and the bench that compares the ways to
+ * share an allowance.
+ */
+import { ServiceName } from "../kernel/service_name.ts";
+import type { AllowanceSharing } from "../services/admission/allowance_sharing.ts";
+import { createHashFunction } from "../services/ownership/key_hash.ts";
+import { rankDaemons } from "../services/admission/home_ranking.ts";
+import { assertNever } from "../types/errors.ts";
+import type { DaemonId } from "../types/types.ts";
+import { AllowanceLoad, measureUse, type UseError } from "./allowance_load.ts";
+import { settleWithin, type TestDaemon, TestFleet } from "./test_fleet.ts";
+import { createListTexts } from "./test_lists.ts";
+
+/** What happens half-way through a scenario. */
+export enum AllowanceFault {
+  None = "none",
+  HotEntryLost = "hot-entry-lost",
+  HomeLost = "home-lost",
+  /** The daemon with most callers is the customer's home as well. */
+  HotHomeLost = "hot-home-lost",
+  HomeFrozen = "home-frozen",
+  /** A daemon joins and becomes the customer's home. */
+  DaemonJoins = "daemon-joins",
+  HotEntryCut = "hot-entry-cut",
+  FleetSplit = "fleet-split",
+}
+
+/** Where callers send their requests. */
+export enum CallerSpread {
+  /** 90% to one daemon, the rest evenly. */
+  Skewed = "skewed",
+  Even = "even",
+}
+
+/** One run. */
+export interface AllowanceScenario {
+  readonly seed: number;
+  readonly createSharing: () => AllowanceSharing;
+  readonly fault: AllowanceFault;
+  readonly spread: CallerSpread;
+  /** Demand as a multiple of the allowance. */
+  readonly demandRatio: number;
+  /** Requests allowed in 10 s. */
+  readonly allowedCount: number;
+}
+
+/** What a run showed. */
+export interface AllowanceOutcome extends UseError {
+  readonly admittedCount: number;
+  readonly messagesPerDaemonSecond: number;
+}
+
+const daemonCount = 12;
+const windowMs = 10_000;
+const skewedFraction = 0.9;
+/** The first window shows the burst that an unused allowance permits. */
+const warmUpMs = 12_000;
+const halfDurationMs = 30_000;
+/** Time until the platform's list shows the loss. */
+const directoryLagMs = 2_000;
+const millisecondsPerSecond = 1_000;
+
+/** Runs one scenario on virtual time. */
+export async function runAllowanceScenario(
+  scenario: AllowanceScenario,
+): Promise<AllowanceOutcome> {
+  const { seed, createSharing, allowedCount } = scenario;
+  const fleet = new TestFleet({
+    seed,
+    daemonCount,
+    serverCount: 1,
+    createSharing,
+  });
+  await fleet.start();
+  const customer = await findCustomer(homeIdOf(scenario.fault));
+  await acceptLists(fleet, { customer, allowedCount });
+  const load = new AllowanceLoad(fleet, seed);
+  const shape = {
+    customer,
+    ratePerSecond: allowedCount * scenario.demandRatio /
+      (windowMs / millisecondsPerSecond),
+    chooseDaemon: createChooser(fleet, scenario.spread),
+  };
+  const startedAtMs = fleet.clock.nowMs();
+  const callCountBefore = countCalls(fleet);
+  await load.run({ ...shape, durationMs: halfDurationMs });
+  const repair = await cause(fleet, scenario.fault);
+  await load.run({ ...shape, durationMs: directoryLagMs });
+  repair();
+  await load.run({ ...shape, durationMs: halfDurationMs - directoryLagMs });
+  const endedAtMs = fleet.clock.nowMs();
+  const callCount = countCalls(fleet) - callCountBefore;
+  await fleet.stop();
+  const durationSeconds = (endedAtMs - startedAtMs) / millisecondsPerSecond;
+  return {
+    ...measureUse(load.admittedAtMs, {
+      fromMs: startedAtMs + warmUpMs,
+      toMs: endedAtMs,
+      windowMs,
+      allowedCount,
+    }),
+    admittedCount: load.admittedAtMs.length,
+    messagesPerDaemonSecond: callCount / durationSeconds / daemonCount,
+  };
+}
+
+async function acceptLists(
+  fleet: TestFleet,
+  { customer, allowedCount }: {
+    readonly customer: string;
+    readonly allowedCount: number;
+  },
+): Promise<void> {
+  const lists = fleet.daemons[0]!.kernel.get(ServiceName.Lists);
+  const texts = createListTexts({
+    burstCount: Math.ceil(allowedCount / 4),
+    sustainedCount: allowedCount,
+    sustainedWindowMs: windowMs,
+  }, [customer]);
+  const applied = lists.apply(texts, { baseVersion: 0, author: "ana" });
+  (await settleWithin(fleet.clock, applied, 5_000))._unsafeUnwrap();
+  await fleet.clock.advance(3_000);
+}
+
+function createChooser(fleet: TestFleet, spread: CallerSpread) {
+  return (fraction: number): TestDaemon | undefined => {
+    const { daemons } = fleet;
+    const hot = daemons[0];
+    if (spread === CallerSpread.Even) {
+      return daemons[Math.floor(fraction * daemons.length)];
+    }
+    if (fraction < skewedFraction) return hot;
+    const rest = (fraction - skewedFraction) / (1 - skewedFraction);
+    return daemons[Math.floor(rest * daemons.length)];
+  };
+}
+
+/** The daemon that is to be the home; the first has most callers. */
+function homeIdOf(fault: AllowanceFault): DaemonId {
+  if (fault === AllowanceFault.HotHomeLost) return daemonIdOf(0);
+  return daemonIdOf(fault === AllowanceFault.DaemonJoins ? daemonCount : 3);
+}
+
+/** Finds a customer whose home is the given daemon. */
+async function findCustomer(homeId: DaemonId): Promise<string> {
+  const hash = await createHashFunction();
+  const daemons = Array.from({ length: daemonCount + 1 }, (_, index) => ({
+    daemonId: daemonIdOf(index),
+  }));
+  for (let index = 0;; index++) {
+    const customer = `customer-${index}`;
+    if (rankDaemons(hash, { customer, daemons })[0]?.daemonId === homeId) {
+      return customer;
+    }
+  }
+}
+
+function daemonIdOf(index: number): DaemonId {
+  return `daemon-${String(index).padStart(3, "0")}`;
+}
+
+/** Causes the fault; the result is called once the platform's list shows it. */
+async function cause(
+  fleet: TestFleet,
+  fault: AllowanceFault,
+): Promise<() => void> {
+  const hot = fleet.daemons[0]!;
+  const home = fleet.daemons
+    .find(({ daemonId }) => daemonId === homeIdOf(fault));
+  switch (fault) {
+    case AllowanceFault.None:
+      return () => {};
+    case AllowanceFault.HotEntryLost:
+    case AllowanceFault.HotHomeLost:
+      fleet.kill(hot);
+      return () => fleet.removeVm(hot.daemonId);
+    case AllowanceFault.HomeLost:
+      fleet.kill(home!);
+      return () => fleet.removeVm(home!.daemonId);
+    case AllowanceFault.HomeFrozen:
+      home!.clock.freeze();
+      return () => home!.clock.thaw();
+    case AllowanceFault.DaemonJoins:
+      await fleet.addDaemon();
+      return () => {};
+    case AllowanceFault.HotEntryCut:
+      cutBetween(fleet, [hot], fleet.daemons.slice(1));
+      return () => {};
+    case AllowanceFault.FleetSplit:
+      cutBetween(
+        fleet,
+        fleet.daemons.slice(0, daemonCount / 2),
+        fleet.daemons.slice(daemonCount / 2),
+      );
+      return () => {};
+    default:
+      return assertNever(fault);
+  }
+}
+
+function cutBetween(
+  fleet: TestFleet,
+  left: readonly TestDaemon[],
+  right: readonly TestDaemon[],
+): void {
+  for (const one of left) {
+    for (const other of right) fleet.network.cut(one.address, other.address);
+  }
+}
+
+function countCalls(fleet: TestFleet): number {
+  return [...fleet.network.callCounts.values()]
+    .reduce((sum, count) => sum + count, 0);
+}
--- a/src/testing/test_fleet.ts
+++ b/src/testing/test_fleet.ts
@@ -10,6 +10,7 @@
 import { SeededRandomSource } from "../host/random_source.ts";
 import { Kernel } from "../kernel/kernel.ts";
 import { ServiceName } from "../kernel/service_name.ts";
+import type { AllowanceSharing } from "../services/admission/allowance_sharing.ts";
 import { Log } from "../services/log/log.ts";
 import { StatsdMetrics } from "../services/metrics/statsd_metrics.ts";
 import { FencingMode, RequestClass, VmRole, VmState } from "../types/enums.ts";
@@ -70,6 +71,8 @@
   readonly definition?: Partial<ServiceDefinition>;
   readonly serverBehaviour?: Partial<FakeServerBehaviour>;
   readonly settings?: Partial<DecisionSettings>;
+  /** How the daemons share allowances; the daemon's default when unset. */
+  readonly createSharing?: () => AllowanceSharing;
 }
 
 /** The name of the one service of a test fleet. */
@@ -255,7 +258,7 @@
       permitDurationMs: 1_800,
       ownershipIntervalMs: 300,
       ...this.#options.settings,
-    });
+    }, this.#options.createSharing?.());
     return { daemonId, address, clock, kernel, log, directory };
   }
 }
--- a/src/testing/test_lists.ts
+++ b/src/testing/test_lists.ts
@@ -16,13 +16,15 @@
   sustainedWindowMs: 10_000,
 };
 
-/** Two customers, `customer` and `other`, on one plan, for live reads. */
+/** Customers on one plan, for live reads. */
 export function createListTexts(
   parts: Partial<TestAllowance> = {},
+  customers: readonly string[] = ["customer", "other"],
 ): ListTexts {
   const allowance = { ...defaultAllowance, ...parts };
+  const entries = customers.map((customer) => `  ${customer}: basic\n`);
   return {
-    plansText: "customers:\n  customer: basic\n  other: basic\n",
+    plansText: `customers:\n${entries.join("")}`,
     allowancesText: [
       "plans:",
       "  basic:",
