--- /dev/null
+++ b/src/cli/tool_error.ts
@@ -0,0 +1,68 @@
+/** Failures of the operators' tool, and how RPC errors become one. */
+import { Code, ConnectError } from "@connectrpc/connect";
+import { MessageCode } from "../diagnostics/messages.ts";
+import { RouterError } from "../types/errors.ts";
+import { ToolExitCode } from "./exit_code.ts";
+
+/** A failure with the exit code it leads to. */
+export class ToolError extends Error {
+  readonly exitCode: ToolExitCode;
+  /** The daemon was reached, but did not answer in time. */
+  readonly isTimeout: boolean;
+
+  constructor(
+    exitCode: ToolExitCode,
+    message: string,
+    options: { readonly isTimeout?: boolean } = {},
+  ) {
+    super(message);
+    this.name = "ToolError";
+    this.exitCode = exitCode;
+    this.isTimeout = options.isTimeout ?? false;
+  }
+}
+
+/** Converts anything thrown; `peer` names the daemon that was asked. */
+export function toToolError(error: unknown, peer: string): ToolError {
+  if (error instanceof ToolError) return error;
+  const failure = ConnectError.from(error);
+  const exitCode = exitCodeOf(failure.code);
+  if (exitCode === ToolExitCode.Unauthorized) {
+    const { message } = new RouterError(
+      MessageCode.PeerUnauthorized,
+      "ask daemon",
+      { peer },
+    );
+    return new ToolError(exitCode, message);
+  }
+  if (exitCode === ToolExitCode.Unreachable) {
+    const { message } = new RouterError(
+      MessageCode.PeerUnreachable,
+      "ask daemon",
+      { peer, detail: failure.rawMessage },
+    );
+    const isTimeout = failure.code === Code.DeadlineExceeded;
+    return new ToolError(exitCode, message, { isTimeout });
+  }
+  return new ToolError(exitCode, failure.rawMessage);
+}
+
+function exitCodeOf(code: Code): ToolExitCode {
+  switch (code) {
+    case Code.NotFound:
+      return ToolExitCode.NotFound;
+    case Code.Aborted:
+      return ToolExitCode.Conflict;
+    case Code.InvalidArgument:
+      return ToolExitCode.ListInvalid;
+    case Code.Unauthenticated:
+      return ToolExitCode.Unauthorized;
+    case Code.Unavailable:
+    case Code.DeadlineExceeded:
+      return ToolExitCode.Unreachable;
+    case Code.Unknown:
+      return ToolExitCode.Unknown;
+    default:
+      return ToolExitCode.Failure;
+  }
+}
--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -16,18 +16,21 @@
 import { HttpEntry } from "../services/entry/http_entry.ts";
 import { SlotHome } from "../services/home/slot_home.ts";
 import { StoredLists } from "../services/lists/stored_lists.ts";
+import { DaemonLifecycle } from "../services/lifecycle/daemon_lifecycle.ts";
 import { ConsolaLog } from "../services/log/consola_log.ts";
-import { DirectoryMembership } from "../services/membership/directory_membership.ts";
+import { SyncedMembership } from "../services/membership/synced_membership.ts";
 import { StatsdMetrics } from "../services/metrics/statsd_metrics.ts";
 import { ConnectOperator } from "../services/operator/connect_operator.ts";
-import { TableOwnership } from "../services/ownership/table_ownership.ts";
+import { CoordinatedOwnership } from "../services/ownership/coordinated_ownership.ts";
+import { MinimumMovePlacement } from "../services/ownership/placement_minimum_move.ts";
+import { AdmittingPipeline } from "../services/pipeline/admitting_pipeline.ts";
 import { HttpPeerServer } from "../services/peers/http_peer_server.ts";
 import { HttpPeerTransport } from "../services/peers/http_peer_transport.ts";
-import type { Settings } from "./settings.ts";
+import type { Settings } from "./settings_schema.ts";
 
 const connectTimeoutMs = 500;
 const peerCallTimeoutMs = 1_000;
-const connectionsPerPeer = 16;
+const connectionsPerPeer = 64;
 
 /** Registers every service that a daemon runs. */
 export function createDaemon(settings: Settings): Kernel {
@@ -85,10 +88,12 @@
 export type DecisionSettings = Pick<
   Settings,
   | "daemonId"
+  | "region"
   | "dataCentre"
   | "peerAddress"
   | "services"
   | "permitDurationMs"
+  | "leaseDurationMs"
   | "ownershipIntervalMs"
 >;
 
@@ -103,23 +108,27 @@
 ): void {
   kernel
     .register(
-      new DirectoryMembership({
+      new SyncedMembership({
         daemonId: settings.daemonId,
         address: settings.peerAddress,
         dataCentre: settings.dataCentre,
       }),
     )
     .register(
-      new TableOwnership({
+      new CoordinatedOwnership({
+        region: settings.region,
         definitions: settings.services,
-        pollIntervalMs: settings.ownershipIntervalMs,
+        placement: new MinimumMovePlacement(),
+        syncIntervalMs: settings.ownershipIntervalMs,
         permitDurationMs: settings.permitDurationMs,
+        leaseDurationMs: settings.leaseDurationMs,
       }),
     )
     .register(new SlotHome())
     .register(new RetryingDelivery())
     .register(new StoredLists())
-    .register(new SharedAdmission(sharing));
+    .register(new SharedAdmission(sharing))
+    .register(new AdmittingPipeline());
 }
 
 function registerFaces(kernel: Kernel, settings: Settings): void {
@@ -128,8 +137,10 @@
       new HttpPeerServer({
         ...splitAddress(settings.peerAddress),
         secret: settings.peerSecret,
+        maxHeaderBytes: settings.maxHeaderBytes,
       }),
     )
+    .register(new DaemonLifecycle())
     .register(new ConnectOperator())
     .register(
       new HttpEntry({ ...settings, ...splitAddress(settings.entryAddress) }),
@@ -144,6 +155,7 @@
 function splitAddress(
   address: string,
 ): { readonly host: string; readonly port: number } {
-  const [host = "", port = ""] = address.split(":");
-  return { host, port: Number(port) };
+  const portIndex = address.lastIndexOf(":");
+  const host = address.slice(0, portIndex).replace(/^\[|\]$/g, "");
+  return { host, port: Number(address.slice(portIndex + 1)) };
 }
--- a/src/services/admission/home_ranking.ts
+++ b/src/services/admission/home_ranking.ts
@@ -20,14 +20,15 @@
   readonly #hash: HashFunction;
   readonly #ranked = new Map<string, readonly DaemonInfo[]>();
   readonly #unsubscribe: () => void;
-  #daemons: readonly DaemonInfo[] | undefined;
+  #daemons: readonly DaemonInfo[];
 
   private constructor(services: ServiceLookup, hash: HashFunction) {
     this.#services = services;
     this.#hash = hash;
+    this.#daemons = this.#readDaemons();
     this.#unsubscribe = subscribe(
       services.get(ServiceName.Membership).changes,
-      () => this.#forget(),
+      () => this.#update(),
     );
   }
 
@@ -42,27 +43,36 @@
 
   /** Daemons that share the allowances. */
   daemonCount(): number {
-    return this.#candidates().length;
+    return this.#daemons.length;
   }
 
   /** The home of a customer's accounts and the daemons next in line. */
   rank(customer: string): readonly DaemonInfo[] {
     const known = this.#ranked.get(customer);
     if (known !== undefined) return known;
-    const daemons = this.#candidates();
-    const ranked = rankDaemons(this.#hash, { customer, daemons });
+    const ranked = rankDaemons(this.#hash, {
+      customer,
+      daemons: this.#daemons,
+    });
     this.#ranked.set(customer, ranked);
     return ranked;
   }
 
-  #candidates(): readonly DaemonInfo[] {
-    this.#daemons ??= this.#services.get(ServiceName.Membership).daemons()
+  #readDaemons(): readonly DaemonInfo[] {
+    return this.#services.get(ServiceName.Membership).daemons()
       .filter(({ isDraining }) => !isDraining);
-    return this.#daemons;
   }
 
-  #forget(): void {
-    this.#daemons = undefined;
+  /** Ranks anew, unless the list came again without a change. */
+  #update(): void {
+    const daemons = this.#readDaemons();
+    const isSame = daemons.length === this.#daemons.length &&
+      daemons.every(({ daemonId, address }, index) =>
+        this.#daemons[index]!.daemonId === daemonId &&
+        this.#daemons[index]!.address === address
+      );
+    if (isSame) return;
+    this.#daemons = daemons;
     this.#ranked.clear();
   }
 }
--- a/src/services/lists/stored_lists_test.ts
+++ b/src/services/lists/stored_lists_test.ts
@@ -119,6 +119,8 @@
       const table = first.kernel.get(ServiceName.PlatformTable);
       const commit = table.commit.bind(table);
       table.commit = async (writes) => {
+        // Other services of the daemon commit rows of their own.
+        if (writes[0]?.key !== listsRowKey) return await commit(writes);
         fleet.platform.fault = {
           ...fleet.platform.fault,
           losesWriteAnswers: true,
--- a/src/testing/test_fleet.ts
+++ b/src/testing/test_fleet.ts
@@ -80,6 +80,7 @@
 
 const dataCentres = ["dc-a", "dc-b", "dc-c"];
 const settleMs = 3_000;
+const realWaitTurns = 50;
 
 /** Daemons, backend servers and a platform in one process. */
 export class TestFleet {
@@ -90,6 +91,7 @@
   readonly daemons: TestDaemon[] = [];
   readonly definition: ServiceDefinition;
   readonly #options: TestFleetOptions;
+  readonly #starting = new Set<TestDaemon>();
   #requestCount = 0;
   #daemonCount = 0;
 
@@ -118,14 +120,25 @@
     await this.clock.advance(settleMs);
   }
 
-  /** Adds a backend server and shows it in every list of VMs. */
-  addServer(): string {
+  /**
+   * Adds a backend server and shows it in every list of VMs. Without options
+   * it serves the fleet's own service.
+   */
+  addServer(
+    options: {
+      readonly serverId?: string;
+      readonly definition?: ServiceDefinition;
+      readonly behaviour?: Partial<FakeServerBehaviour>;
+    } = {},
+  ): string {
     const index = this.backends.servers.size;
-    const serverId = `server-${index}`;
+    const serverId = options.serverId ?? `server-${index}`;
+    const definition = options.definition ?? this.definition;
     this.backends.addServer(serverId, this.clock, {
-      isFenceChecked: this.definition.fencingMode === FencingMode.Checked,
-      slotCount: this.definition.slotsPerServer,
+      isFenceChecked: definition.fencingMode === FencingMode.Checked,
+      slotCount: definition.slotsPerServer,
       ...this.#options.serverBehaviour,
+      ...options.behaviour,
     });
     this.putVm({
       vmId: serverId,
@@ -133,7 +146,7 @@
       state: VmState.Live,
       address: serverId,
       dataCentre: dataCentres[index % dataCentres.length]!,
-      service: this.definition.name,
+      service: definition.name,
     });
     return serverId;
   }
@@ -143,6 +156,7 @@
     const starting = this.startDaemon();
     let isStarted = false;
     starting.then(() => isStarted = true, () => isStarted = true);
+    await waitInRealTime(() => isStarted);
     while (!isStarted) await this.clock.advance(1);
     return await starting;
   }
@@ -153,7 +167,7 @@
     const daemonId = `daemon-${String(index).padStart(3, "0")}`;
     const dataCentre = dataCentres[index % dataCentres.length]!;
     const daemon = this.#createDaemon(daemonId, { index, dataCentre });
-    this.daemons.push(daemon);
+    this.#starting.add(daemon);
     this.putVm({
       vmId: daemonId,
       role: VmRole.Daemon,
@@ -162,7 +176,9 @@
       dataCentre,
     });
     await daemon.kernel.start();
+    this.#starting.delete(daemon);
     this.network.attach(daemon.address, daemon.kernel);
+    this.daemons.push(daemon);
     return daemon;
   }
 
@@ -180,7 +196,7 @@
 
   /** Shows the present list of VMs to every daemon. */
   publishVms(): void {
-    for (const daemon of this.daemons) {
+    for (const daemon of [...this.daemons, ...this.#starting]) {
       daemon.directory.publish(this.platform.state.vms());
     }
   }
@@ -254,8 +270,10 @@
       daemonId,
       peerAddress: address,
       dataCentre,
+      region: "region",
       services: [this.definition],
       permitDurationMs: 1_800,
+      leaseDurationMs: 1_000,
       ownershipIntervalMs: 300,
       ...this.#options.settings,
     }, this.#options.createSharing?.());
@@ -263,6 +281,16 @@
   }
 }
 
+/**
+ * Waits a little for work that needs no virtual time, such as compiling the
+ * hash, so that virtual time does not depend on how fast the machine is.
+ */
+async function waitInRealTime(isDone: () => boolean): Promise<void> {
+  for (let turn = 0; turn < realWaitTurns && !isDone(); turn++) {
+    await new Promise<void>((resolve) => setTimeout(resolve, 1));
+  }
+}
+
 /** Advances the clock until the promise settles, at most `limitMs`. */
 export async function settleWithin<T>(
   clock: VirtualClock,
