--- /dev/null
+++ b/src/services/admission/home_ranking.ts
@@ -0,0 +1,96 @@
+/**
+ * Ranks daemons for each customer by rendezvous hashing: the first is the
+ * home of the customer's accounts, the next takes over when it is lost.
+ */
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { subscribe } from "../../streams/subscribe.ts";
+import type { DaemonInfo } from "../../types/types.ts";
+import {
+  createHashFunction,
+  type HashFunction,
+} from "../ownership/key_hash.ts";
+
+/** Daemons that can stand in for a home, the home included. */
+export const rankedDaemonCount = 3;
+
+/** The ranking by the present membership. */
+export class HomeRanking {
+  readonly #services: ServiceLookup;
+  readonly #hash: HashFunction;
+  readonly #ranked = new Map<string, readonly DaemonInfo[]>();
+  readonly #unsubscribe: () => void;
+  #daemons: readonly DaemonInfo[];
+
+  private constructor(services: ServiceLookup, hash: HashFunction) {
+    this.#services = services;
+    this.#hash = hash;
+    this.#daemons = this.#readDaemons();
+    this.#unsubscribe = subscribe(
+      services.get(ServiceName.Membership).changes,
+      () => this.#update(),
+    );
+  }
+
+  /** Follows the membership until `close`. */
+  static async open(services: ServiceLookup): Promise<HomeRanking> {
+    return new HomeRanking(services, await createHashFunction());
+  }
+
+  close(): void {
+    this.#unsubscribe();
+  }
+
+  /** Daemons that share the allowances. */
+  daemonCount(): number {
+    return this.#daemons.length;
+  }
+
+  /** The home of a customer's accounts and the daemons next in line. */
+  rank(customer: string): readonly DaemonInfo[] {
+    const known = this.#ranked.get(customer);
+    if (known !== undefined) return known;
+    const ranked = rankDaemons(this.#hash, {
+      customer,
+      daemons: this.#daemons,
+    });
+    this.#ranked.set(customer, ranked);
+    return ranked;
+  }
+
+  #readDaemons(): readonly DaemonInfo[] {
+    return this.#services.get(ServiceName.Membership).daemons()
+      .filter(({ isDraining }) => !isDraining);
+  }
+
+  /** Ranks anew, unless the list came again without a change. */
+  #update(): void {
+    const daemons = this.#readDaemons();
+    const isSame = daemons.length === this.#daemons.length &&
+      daemons.every(({ daemonId, address }, index) =>
+        this.#daemons[index]!.daemonId === daemonId &&
+        this.#daemons[index]!.address === address
+      );
+    if (isSame) return;
+    this.#daemons = daemons;
+    this.#ranked.clear();
+  }
+}
+
+/** Orders daemons by their weight for a customer, the heaviest first. */
+export function rankDaemons<D extends Pick<DaemonInfo, "daemonId">>(
+  hash: HashFunction,
+  { customer, daemons }: {
+    readonly customer: string;
+    readonly daemons: readonly D[];
+  },
+): readonly D[] {
+  return daemons
+    .map((daemon) => ({
+      daemon,
+      weight: hash(`${customer}@${daemon.daemonId}`),
+    }))
+    .sort((a, b) => b.weight - a.weight)
+    .slice(0, rankedDaemonCount)
+    .map(({ daemon }) => daemon);
+}
