Hold back balance moves until servers are settled and the table is prompt

Cause: with minimum-move wired in, four tests of losses, joins and slow tables failed: shards of live servers moved within seconds of a loss, on rates a new coordinator had hardly seen, and each move lasted two slow commits. Ruled out: a smaller budget (one move a second already). Change: PlacementGate lets shards with a usable owner move only after 10 s with the same servers and daemons and while the last commit took at most 150 ms; homes keep their own interval.

--- /dev/null
+++ b/bench/closed_loop.ts
@@ -0,0 +1,41 @@
+/**
+ * Closed-loop load: a fixed number of callers, each sending its next request
+ * as soon as the last was answered. Finds the highest throughput of a target.
+ */
+import type { Clock } from "../src/host/clock.ts";
+import { LoadOutcome, type LoadTarget } from "../scripts/open_loop_load.ts";
+
+/** What a closed-loop run reached. */
+export interface ClosedLoopReport {
+  readonly answeredCount: number;
+  readonly otherCount: number;
+  readonly durationMs: number;
+}
+
+/** Runs callers for a fixed time. */
+export async function runClosedLoop(
+  target: LoadTarget,
+  options: {
+    readonly clock: Clock;
+    readonly callerCount: number;
+    readonly durationMs: number;
+  },
+): Promise<ClosedLoopReport> {
+  const { clock, callerCount, durationMs } = options;
+  const startedAtMs = clock.nowMs();
+  let answeredCount = 0;
+  let otherCount = 0;
+  async function call(): Promise<void> {
+    while (clock.nowMs() - startedAtMs < durationMs) {
+      const outcome = await target.send();
+      if (outcome === LoadOutcome.Answered) answeredCount += 1;
+      else otherCount += 1;
+    }
+  }
+  await Promise.all(Array.from({ length: callerCount }, call));
+  return {
+    answeredCount,
+    otherCount,
+    durationMs: clock.nowMs() - startedAtMs,
+  };
+}
--- a/bench/run_benches.ts
+++ b/bench/run_benches.ts
@@ -6,12 +6,13 @@
 import meow from "meow";
 import { type Bench, formatFigure, isWithinBound } from "./bench.ts";
 import { PlacementBench } from "./placement.ts";
+import { ThroughputBench } from "./throughput.ts";
 
 const exitFailure = 1;
 const exitUsage = 2;
 
 function listBenches(): readonly Bench[] {
-  return [new PlacementBench()];
+  return [new PlacementBench(), new ThroughputBench()];
 }
 
 const cli = meow(
--- a/src/services/ownership/control_options.ts
+++ b/src/services/ownership/control_options.ts
@@ -37,7 +37,5 @@
 export const watcherCount = 3;
 /** Delay between the takeover attempts of two watchers. */
 export const watcherStaggerMs = 150;
-/** Interval between two plans for the sake of balance. */
-export const rebalanceIntervalMs = 1_000;
 /** Time that a stopping daemon waits for its servers to find a new home. */
 export const drainTimeoutMs = 5_000;
--- a/src/services/ownership/coordinator.ts
+++ b/src/services/ownership/coordinator.ts
@@ -4,7 +4,12 @@
  * It decides only; `lease_store.ts` commits what it decides.
  */
 import { VmRole, VmState } from "../../types/enums.ts";
-import type { DaemonId, DaemonInfo, ServerId } from "../../types/types.ts";
+import type {
+  DaemonId,
+  DaemonInfo,
+  ServerId,
+  VmRecord,
+} from "../../types/types.ts";
 import {
   type AssignmentRow,
   noHomeDaemonId,
@@ -15,7 +20,6 @@
   firstAssignmentDelayMs,
   memberForgetMs,
   missedSyncLimit,
-  rebalanceIntervalMs,
 } from "./control_options.ts";
 import type { ControlState } from "./control_state.ts";
 import { FleetView } from "./fleet_view.ts";
@@ -23,6 +27,7 @@
 import { planMoves } from "./move_planner.ts";
 import { computeShard } from "./key_hash.ts";
 import { PermitLedger } from "./permit_ledger.ts";
+import { PlacementGate } from "./placement_gate.ts";
 import { ServiceRates } from "./placement_service_rates.ts";
 import type { SyncReport } from "./sync_messages.ts";
 import { tryGetParent } from "./sync_tree.ts";
@@ -48,14 +53,14 @@
   readonly #rates: ReadonlyMap<string, ServiceRates>;
   readonly #handedOutAtMs = new Map<string, number>();
   #highestPromise = 0;
-  #rebalancedAtMs: number;
+  readonly #gate: PlacementGate;
   #isLoaded = false;
 
   constructor(state: ControlState, origin: LeaseOrigin) {
     const { leaseDurationMs, permitDurationMs } = state.options;
     this.#state = state;
     this.#origin = origin;
-    this.#rebalancedAtMs = origin.takenAtMs;
+    this.#gate = new PlacementGate(origin.takenAtMs);
     this.#rates = createRates(state, origin.takenAtMs);
     this.fleet = new FleetView(this.#rates);
     this.authority = new Authority(state.selfId(), leaseDurationMs);
@@ -200,11 +205,9 @@
       loads: this.#countLoads(),
       serverCount: servers.length,
     });
-    const mayRebalance = nowMs - this.#rebalancedAtMs >= rebalanceIntervalMs;
-    if (mayRebalance) {
-      this.#rebalancedAtMs = nowMs;
-      for (const rates of this.#rates.values()) rates.update(nowMs);
-    }
+    const mayRebalance = this.#gate.isDue(nowMs);
+    const mayMoveShards = mayRebalance &&
+      this.#mayMoveShards(nowMs, { live, servers });
     const { options, book, clock, random, hash } = this.#state;
     return options.definitions.flatMap((definition) =>
       planMoves({
@@ -212,6 +215,7 @@
         hash,
         homes,
         mayRebalance,
+        mayMoveShards,
         placement: options.placement,
         rates: this.#rates.get(definition.name)!,
         row: book.tryGet(definition.name),
@@ -254,6 +258,28 @@
     );
   }
 
+  /** Notes how long a commit took; moves wait while the table is slow. */
+  noteCommit(durationMs: number): void {
+    this.#gate.noteCommit(durationMs);
+  }
+
+  #mayMoveShards(
+    nowMs: number,
+    { live, servers }: {
+      readonly live: readonly DaemonInfo[];
+      readonly servers: readonly VmRecord[];
+    },
+  ): boolean {
+    for (const rates of this.#rates.values()) rates.update(nowMs);
+    const topology = [
+      ...live.map((daemon) => `${daemon.daemonId}/${daemon.isDraining}`),
+      ...servers.map(({ vmId, state }) =>
+        `${vmId}/${state}/${this.fleet.tryGetServer(vmId)?.state}`
+      ),
+    ];
+    return this.#gate.pass(nowMs, topology.join());
+  }
+
   /** A region's first rows wait until its daemons had time to arrive. */
   #mayPlan(nowMs: number): boolean {
     const isFirst = this.#state.book.rows().length === 0;
--- a/src/services/ownership/lease_task.ts
+++ b/src/services/ownership/lease_task.ts
@@ -115,6 +115,7 @@
         : undefined,
       rows: decision.rows,
     });
+    coordinator.noteCommit(this.#state.clock.nowMs() - sentAtMs);
     if (outcome === CommitOutcome.Committed) {
       this.#leaseVersion += 1;
       this.#renewalCount += 1;
--- /dev/null
+++ b/src/services/ownership/placement_gate_test.ts
@@ -0,0 +1,43 @@
+import * as assert from "uvu/assert";
+import { describe, it } from "../../testing/describe.ts";
+import {
+  PlacementGate,
+  promptCommitMs,
+  rebalanceIntervalMs,
+  rebalanceSettleMs,
+} from "./placement_gate.ts";
+
+describe("PlacementGate", () => {
+  function createSettledGate(): PlacementGate {
+    const gate = new PlacementGate(0);
+    gate.pass(0, "a,b");
+    return gate;
+  }
+
+  it("is due at even intervals", () => {
+    const gate = createSettledGate();
+    assert.not.ok(gate.isDue(rebalanceIntervalMs - 1));
+    assert.ok(gate.isDue(rebalanceIntervalMs));
+  });
+
+  it("opens once servers and daemons have stayed the same", () => {
+    const gate = createSettledGate();
+    assert.not.ok(gate.pass(rebalanceSettleMs - 1, "a,b"));
+    assert.ok(gate.pass(rebalanceSettleMs, "a,b"));
+  });
+
+  it("closes anew when a server or daemon changes", () => {
+    const gate = createSettledGate();
+    assert.not.ok(gate.pass(rebalanceSettleMs, "a"));
+    assert.not.ok(gate.pass(2 * rebalanceSettleMs - 1, "a"));
+    assert.ok(gate.pass(2 * rebalanceSettleMs, "a"));
+  });
+
+  it("stays closed while commits are slow", () => {
+    const gate = createSettledGate();
+    gate.noteCommit(promptCommitMs + 1);
+    assert.not.ok(gate.pass(rebalanceSettleMs, "a,b"));
+    gate.noteCommit(promptCommitMs);
+    assert.ok(gate.pass(rebalanceSettleMs, "a,b"));
+  });
+});
--- a/src/services/ownership/shard_planner.ts
+++ b/src/services/ownership/shard_planner.ts
@@ -22,7 +22,7 @@
   readonly rates: ServiceRates;
   readonly tryGetFigures: (serverId: ServerId) => ServerFigures | undefined;
   /** Whether shards with a usable owner may move. */
-  readonly mayRebalance: boolean;
+  readonly mayMoveShards: boolean;
 }
 
 /** Withdraws everything from servers that may no longer own shards. */
@@ -71,7 +71,7 @@
   released: readonly PendingRelease[],
 ): void {
   const hasUnowned = draft.owners.some((owner) => owner === undefined);
-  if (!hasUnowned && !input.mayRebalance) return;
+  if (!hasUnowned && !input.mayMoveShards) return;
   const causes = listCauses(released);
   const moving = listMoving(draft);
   const withdrawals = new Map<string, PlannedMove[]>();
@@ -170,7 +170,7 @@
         .map(([key, { serverId }]) => [key, serverId]),
     ),
     hotKeys: input.rates.hotKeys(),
-    moveBudget: input.mayRebalance ? Math.max(0, budget - movingCount) : 0,
+    moveBudget: input.mayMoveShards ? Math.max(0, budget - movingCount) : 0,
   };
 }
 
