--- a/scripts/hunt.ts
+++ b/scripts/hunt.ts
@@ -47,8 +47,8 @@
 }
 
 const details = await fc.check(
-  fc.asyncProperty(schedules, async (faults) => {
-    const report = await runFleet(faults, {
+  fc.asyncProperty(schedules, async (schedule) => {
+    const report = await runFleet(schedule, {
       seed: cli.flags.seed,
       fencingMode,
       daemonCount: 5,
@@ -57,9 +57,8 @@
       loadIntervalMs: 20,
     });
     printReport(report);
-    if (report.violations.length > 0) {
-      throw new Error(report.violations.join("\n"));
-    }
+    const faults = [...report.violations, ...report.recoveryErrors];
+    if (faults.length > 0) throw new Error(faults.join("\n"));
   }),
   { numRuns: cli.flags.runs, seed: cli.flags.seed, endOnFailure: false },
 );
