Part the home and delivery files by their jobs

Ruled out: a base class for the tasks of a server; they share data only. Change: rights before a send, errors of given-up requests, assembly of the home, hand-over and delivery errors stand in files of their own; the class `Wakeup` of the home is `ChangeSignal`, since another class has that name. No behaviour changes.

--- a/src/services/delivery/retrying_delivery.ts
+++ b/src/services/delivery/retrying_delivery.ts
@@ -3,21 +3,24 @@
  * one loop: attempt, judge the failure, wait for what can mend it, try again
  * within the deadline and the retry budget.
  */
-import { err, ok, type Result } from "neverthrow";
-import { MessageCode } from "../../diagnostics/messages.ts";
-import { AbortCause, DeadlineSignal } from "../../host/deadline_signal.ts";
+import { err } from "neverthrow";
+import { DeadlineSignal } from "../../host/deadline_signal.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import { subscribe } from "../../streams/subscribe.ts";
 import { AttemptOutcome } from "../../types/enums.ts";
-import { assertNever, RouterError } from "../../types/errors.ts";
-import type {
-  KeyLocation,
-  RoutedRequest,
-  RoutedResponse,
-} from "../../types/types.ts";
+import { assertNever } from "../../types/errors.ts";
+import type { KeyLocation, RoutedRequest } from "../../types/types.ts";
 import { CounterName } from "../metrics/metrics.ts";
 import { Delivery } from "./delivery.ts";
+import {
+  createBudgetSpent,
+  createGivenUp,
+  createUnlisted,
+  type DeliveryProgress,
+  finalError,
+} from "./delivery_errors.ts";
+import { type DeliveryResult, disposeAfter } from "./dispose_after.ts";
 import { HomeWatch } from "./home_watch.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { decideRetry, RetryDecision } from "./retry_policy.ts";
@@ -26,15 +29,6 @@
 const maxRetryDelayMs = 250;
 const drainCheckIntervalMs = 20;
 
-type DeliveryResult = Result<RoutedResponse, RouterError>;
-
-/** The progress of one request through its attempts. */
-interface DeliveryProgress {
-  delayMs: number;
-  /** Whether an attempt may have run. */
-  mayHaveRun: boolean;
-}
-
 /** Delivers with retries. */
 export class RetryingDelivery extends Delivery {
   readonly #budget = new RetryBudget();
@@ -225,69 +219,3 @@
     return err(createGivenUp(homeDaemonId, abort.cause));
   }
 }
-
-/** Keeps the signal in force until the answer has been read. */
-function disposeAfter(
-  result: DeliveryResult,
-  signal: DeadlineSignal,
-): DeliveryResult {
-  if (result.isErr()) {
-    signal.dispose();
-    return result;
-  }
-  const { body } = result.value;
-  async function* read(): AsyncGenerator<Uint8Array> {
-    try {
-      yield* body;
-    } finally {
-      signal.dispose();
-    }
-  }
-  return ok({ ...result.value, body: read() });
-}
-
-/** An earlier attempt that may have run outweighs a later refusal. */
-function finalError(
-  error: RouterError,
-  progress: DeliveryProgress,
-): RouterError {
-  if (!progress.mayHaveRun) return error;
-  if (error.outcome === AttemptOutcome.Unknown) return error;
-  if (error.outcome === AttemptOutcome.Answered) return error;
-  return new RouterError(MessageCode.OutcomeUnknown, "deliver", {
-    detail: `an earlier attempt may have run; then ${error.message}`,
-    outcome: AttemptOutcome.Unknown,
-    cause: error,
-  });
-}
-
-function createBudgetSpent(error: RouterError): RouterError {
-  return new RouterError(MessageCode.RetryBudgetSpent, "deliver", {
-    detail: error.message,
-    outcome: error.outcome,
-    cause: error,
-  });
-}
-
-function createUnlisted(daemonId: string): RouterError {
-  return new RouterError(MessageCode.PeerUnreachable, "deliver", {
-    peer: daemonId,
-    detail: "not in the list of daemons",
-  });
-}
-
-function createGivenUp(
-  daemonId: string,
-  cause: AbortCause | undefined,
-): RouterError {
-  const code = cause === AbortCause.Deadline
-    ? MessageCode.DeadlineExceeded
-    : cause === AbortCause.Cancelled
-    ? MessageCode.RequestCancelled
-    : MessageCode.OutcomeUnknown;
-  return new RouterError(code, "forward", {
-    peer: daemonId,
-    detail: "the home did not answer",
-    outcome: AttemptOutcome.Unknown,
-  });
-}
--- a/src/services/home/wakeup.ts
+++ b/src/services/home/change_signal.ts
@@ -3,7 +3,7 @@
 import { DeadlineSignal } from "../../host/deadline_signal.ts";
 
 /** Wakes every task that waits. */
-export class Wakeup {
+export class ChangeSignal {
   #waiters = new Set<() => void>();
   #count = 0;
 
--- a/src/services/home/close_server.ts
+++ b/src/services/home/close_server.ts
@@ -3,7 +3,7 @@
 import { MessageCode } from "../../diagnostics/messages.ts";
 import { BackendServerState } from "../../types/enums.ts";
 import { RouterError } from "../../types/errors.ts";
-import type { SlotScope } from "./slot_task.ts";
+import type { SlotScope } from "./slot_scope.ts";
 
 /** Returns what is queued as not sent and gives up what a loss made vain. */
 export function closeServer(
--- a/src/services/home/grant_task.ts
+++ b/src/services/home/grant_task.ts
@@ -1,7 +1,7 @@
 /** One task for each homed backend server that checks fences: its grants. */
 import { FencingMode } from "../../types/enums.ts";
 import { tryFindServer } from "./assignment_rules.ts";
-import type { SlotScope } from "./slot_task.ts";
+import type { SlotScope } from "./slot_scope.ts";
 
 const grantCheckIntervalMs = 200;
 
--- a/src/services/home/health_task.ts
+++ b/src/services/home/health_task.ts
@@ -6,7 +6,7 @@
 import { BackendServerState } from "../../types/enums.ts";
 import { CounterName } from "../metrics/metrics.ts";
 import { closeServer } from "./close_server.ts";
-import type { SlotScope } from "./slot_task.ts";
+import type { SlotScope } from "./slot_scope.ts";
 
 const checkIntervalMs = 50;
 const probeIntervalMs = 1_000;
--- a/src/services/home/homed_server.ts
+++ b/src/services/home/homed_server.ts
@@ -10,12 +10,13 @@
 import { err } from "neverthrow";
 import { ClassQueue } from "./class_queue.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
+import type { HomedServerStatus } from "./home.ts";
 import { HotKeyCounter } from "./hot_key_counter.ts";
 import type { QueuedRequest } from "./queued_request.ts";
 import type { ServerGrants } from "./server_grants.ts";
 import { ShardCounter } from "./shard_counter.ts";
 import { ServerHealth } from "./server_health.ts";
-import { Wakeup } from "./wakeup.ts";
+import { ChangeSignal } from "./change_signal.ts";
 
 /** Requests that may wait for one server. */
 const queueCapacity = 512;
@@ -35,10 +36,10 @@
   /** Ends the server's tasks when it is no longer homed here. */
   readonly retired = new AbortController();
   /** Wakes the health task. */
-  readonly healthWakeup = new Wakeup();
+  readonly healthWakeup = new ChangeSignal();
   /** Wakes the grant task. */
-  readonly grantWakeup = new Wakeup();
-  readonly #work = new Wakeup();
+  readonly grantWakeup = new ChangeSignal();
+  readonly #work = new ChangeSignal();
   readonly #queue = new ClassQueue<QueuedRequest>(queueCapacity);
   #busyCount = 0;
   #busyArchiveCount = 0;
@@ -68,6 +69,18 @@
     return this.#busyCount;
   }
 
+  /** Figures about the server, but for the permit, which the home knows. */
+  status(): Omit<HomedServerStatus, "permitRemainingMs"> {
+    return {
+      service: this.definition.name,
+      serverId: this.server.serverId,
+      state: this.health.state,
+      queuedCount: this.queuedCount,
+      inFlightCount: this.#busyCount,
+      slotLimit: this.limit.current,
+    };
+  }
+
   /** Why the server takes no new work; undefined when it does. */
   tryGetClosedReason(nowMs: number): string | undefined {
     const { state, drainingSinceMs } = this.health;
--- a/src/services/home/homed_server_task.ts
+++ b/src/services/home/homed_server_task.ts
@@ -1,7 +1,8 @@
 /** Runs the tasks of one homed backend server until it retires. */
 import { runGrants } from "./grant_task.ts";
 import { runHealth } from "./health_task.ts";
-import { runSlot, type SlotScope } from "./slot_task.ts";
+import type { SlotScope } from "./slot_scope.ts";
+import { runSlot } from "./slot_task.ts";
 
 /** Resolves when the last request is finished and the connections closed. */
 export async function runHomedServer(scope: SlotScope): Promise<void> {
--- a/src/services/home/note_attempt_error.ts
+++ b/src/services/home/note_attempt_error.ts
@@ -4,7 +4,7 @@
 import { assertNever, type RouterError } from "../../types/errors.ts";
 import type { KeyLocation } from "../../types/types.ts";
 import { CounterName } from "../metrics/metrics.ts";
-import type { SlotScope } from "./slot_task.ts";
+import type { SlotScope } from "./slot_scope.ts";
 
 /** A request given up sooner than this says nothing about its server. */
 const silenceEvidenceMs = 250;
--- a/src/services/home/record_transfer.ts
+++ b/src/services/home/record_transfer.ts
@@ -21,7 +21,7 @@
 } from "./idempotency_records.ts";
 import { decodeRecord } from "./record_codec.ts";
 import type { StandbyRecorder } from "./standby_recorder.ts";
-import { Wakeup } from "./wakeup.ts";
+import { ChangeSignal } from "./change_signal.ts";
 
 const callTimeoutMs = 400;
 const retryIntervalMs = 200;
@@ -51,7 +51,7 @@
   /** Unfinished transfers; finished ones are removed. */
   readonly #transfers = new Set<Transfer>();
   readonly #tasks = new Set<Promise<void>>();
-  readonly #changed = new Wakeup();
+  readonly #changed = new ChangeSignal();
 
   constructor(options: RecordTransferOptions) {
     this.#options = options;
--- /dev/null
+++ b/src/services/home/send_rights.ts
@@ -0,0 +1,121 @@
+/**
+ * Everything that must hold before a request is sent: its deadline, the
+ * ownership of its key, the home's permit, the server's grant and the intent
+ * at the standby.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { MessageCode } from "../../diagnostics/messages.ts";
+import { AbortCause, DeadlineSignal } from "../../host/deadline_signal.ts";
+import { AttemptOutcome, FencingMode } from "../../types/enums.ts";
+import { RouterError } from "../../types/errors.ts";
+import type { KeyLocation } from "../../types/types.ts";
+import { CounterName } from "../metrics/metrics.ts";
+import { createAbortError } from "./abort_error.ts";
+import { createClosedError } from "./close_server.ts";
+import type { QueuedRequest } from "./queued_request.ts";
+import type { SlotScope } from "./slot_scope.ts";
+
+/** Time within which a backend server must start a request sent to it. */
+const startWindowMs = 1_000;
+/** How long a request waits in its slot for the server to accept a grant. */
+const grantWaitMs = 400;
+
+/** The right to send one request now. */
+export interface SendRight {
+  readonly location: KeyLocation;
+  /** Local instant at which the right lapses. */
+  readonly expiresAtMs: number;
+}
+
+/**
+ * Obtains the grant and records the intent, then checks every right again:
+ * nothing is awaited between the last check and the send.
+ */
+export async function prepareSend(
+  scope: SlotScope,
+  entry: QueuedRequest,
+): Promise<Result<SendRight, RouterError>> {
+  let isIntentRecorded = entry.attemptId === undefined;
+  for (;;) {
+    const right = checkRights(scope, entry);
+    if (right.isErr()) return right;
+    if (!isGranted(scope, { entry, right: right.value })) {
+      const isChanged = await waitForGrant(scope, entry);
+      if (!isChanged) return err(createUngranted(scope));
+      continue;
+    }
+    if (isIntentRecorded) return right;
+    const recorded = await scope.context.standbys
+      .recordIntent(entry, right.value.location.server.standbyDaemonId);
+    if (recorded.isErr()) return err(recorded.error);
+    isIntentRecorded = true;
+  }
+}
+
+/** Checks deadline, ownership and permit as they stand now. */
+function checkRights(
+  { server, context }: SlotScope,
+  entry: QueuedRequest,
+): Result<SendRight, RouterError> {
+  const { request, abort } = entry;
+  const nowMs = context.clock.nowMs();
+  if (abort.cause !== undefined || nowMs >= request.deadlineAtMs) {
+    return err(createAbortError(entry, AttemptOutcome.NotSent));
+  }
+  const { serverId } = server.server;
+  const closedReason = server.tryGetClosedReason(nowMs);
+  if (closedReason !== undefined) {
+    return err(createClosedError(serverId, closedReason));
+  }
+  const located = context.ownership.locate(request.service, request.key);
+  if (located.isErr()) return err(located.error);
+  const location = located.value;
+  const isOwner = location.server.serverId === serverId &&
+    context.inFlight.isAllowed(location, request.key);
+  if (!isOwner) return err(createNotSent(MessageCode.KeyInMotion, serverId));
+  const permit = context.ownership.tryGetPermit(serverId);
+  if (permit === undefined || permit.expiresAtMs <= nowMs) {
+    context.metrics.count(CounterName.PermitsLapsed);
+    return err(createNotSent(MessageCode.PermitLapsed, serverId));
+  }
+  const expiresAtMs = Math.min(
+    permit.expiresAtMs,
+    request.deadlineAtMs,
+    nowMs + startWindowMs,
+  );
+  return ok({ location, expiresAtMs });
+}
+
+function isGranted(
+  { server }: SlotScope,
+  options: { readonly entry: QueuedRequest; readonly right: SendRight },
+): boolean {
+  if (server.definition.fencingMode === FencingMode.Unchecked) return true;
+  const { entry, right } = options;
+  return server.grants.isGranted(right.location, entry.request.key);
+}
+
+/** Waits for the server's next grant; false when it takes too long. */
+async function waitForGrant(
+  { server, context }: SlotScope,
+  entry: QueuedRequest,
+): Promise<boolean> {
+  const limit = new DeadlineSignal(context.clock, {
+    atMs: context.clock.nowMs() + grantWaitMs,
+    parent: entry.abort.signal,
+  });
+  server.grantWakeup.notify();
+  await server.grants.waitForChange(limit.signal);
+  limit.dispose();
+  return limit.cause !== AbortCause.Deadline;
+}
+
+function createNotSent(code: MessageCode, serverId: string): RouterError {
+  return new RouterError(code, "check rights", { peer: serverId });
+}
+
+function createUngranted({ server }: SlotScope): RouterError {
+  return new RouterError(MessageCode.KeyInMotion, "await grant", {
+    peer: server.server.serverId,
+  });
+}
--- a/src/services/home/server_grants.ts
+++ b/src/services/home/server_grants.ts
@@ -13,7 +13,7 @@
   KeyLocation,
   ServiceAssignment,
 } from "../../types/types.ts";
-import { Wakeup } from "./wakeup.ts";
+import { ChangeSignal } from "./change_signal.ts";
 
 const grantDurationMs = 1_500;
 const grantTimeoutMs = 400;
@@ -46,7 +46,7 @@
 export class ServerGrants {
   readonly #options: ServerGrantsOptions;
   readonly #held = new Map<number, HeldGrant>();
-  readonly #changed = new Wakeup();
+  readonly #changed = new ChangeSignal();
 
   constructor(options: ServerGrantsOptions) {
     this.#options = options;
--- a/src/services/home/slot_home.ts
+++ b/src/services/home/slot_home.ts
@@ -19,34 +19,18 @@
   ServiceAssignment,
 } from "../../types/types.ts";
 import { CounterName } from "../metrics/metrics.ts";
+import { createAbortError } from "./abort_error.ts";
 import { createClosedError } from "./close_server.ts";
+import { handOver } from "./hand_over.ts";
 import { Home, type HomedServerStatus } from "./home.ts";
-import type { HomeContext } from "./home_context.ts";
 import { HomedServer } from "./homed_server.ts";
 import { runHomedServer } from "./homed_server_task.ts";
-import { IdempotencyGuard } from "./idempotency_guard.ts";
-import { IdempotencyRecords } from "./idempotency_records.ts";
-import { InFlightTable } from "./in_flight.ts";
 import { type DispatchResult, QueuedRequest } from "./queued_request.ts";
-import { addRecordService } from "./record_service.ts";
-import { RecordTransfer } from "./record_transfer.ts";
+import { createRunningHome, type RunningHome } from "./running_home.ts";
 import { ServerGrants } from "./server_grants.ts";
-import { createAbortError } from "./slot_task.ts";
-import { StandbyRecorder } from "./standby_recorder.ts";
 
-/** How long a draining daemon waits for others to take its servers over. */
-const handOverLimitMs = 3_000;
-/** How long it then still answers requests for idempotency records. */
-const lingerMs = 500;
 const drainCheckIntervalMs = 20;
 
-/** What `start` creates. */
-interface RunningHome extends HomeContext {
-  readonly guard: IdempotencyGuard;
-  readonly transfer: RecordTransfer;
-  readonly services: ServiceLookup;
-}
-
 /** Queues and dispatches, as long as the permit is in force. */
 export class SlotHome extends Home {
   readonly #servers = new Map<ServerId, HomedServer>();
@@ -88,16 +72,8 @@
 
   /** Hands the servers over, then finishes everything in progress. */
   override async drain(): Promise<void> {
-    const { clock, services } = this.#running!;
-    const membership = services.get(ServiceName.Membership);
-    membership.beginDraining();
-    const startedAtMs = clock.nowMs();
-    while (clock.nowMs() - startedAtMs < handOverLimitMs) {
-      const isLast = membership.daemons().every((daemon) => daemon.isDraining);
-      if (this.#servers.size === 0 || isLast) break;
-      await clock.sleep(drainCheckIntervalMs);
-    }
-    if (clock.nowMs() > startedAtMs) await clock.sleep(lingerMs);
+    const { clock } = this.#running!;
+    await handOver(this.#running!, () => this.#servers.size);
     this.#isClosed = true;
     while (this.#dispatchCount > 0 || this.#running!.inFlight.size > 0) {
       await clock.sleep(drainCheckIntervalMs);
@@ -134,15 +110,8 @@
     return [...this.#servers.values()].map((homed) => {
       const { serverId } = homed.server;
       const expiresAtMs = ownership.tryGetPermit(serverId)?.expiresAtMs;
-      return {
-        service: homed.definition.name,
-        serverId,
-        state: homed.health.state,
-        queuedCount: homed.queuedCount,
-        inFlightCount: homed.busyCount,
-        slotLimit: homed.limit.current,
-        permitRemainingMs: Math.max(0, (expiresAtMs ?? nowMs) - nowMs),
-      };
+      const permitRemainingMs = Math.max(0, (expiresAtMs ?? nowMs) - nowMs);
+      return { ...homed.status(), permitRemainingMs };
     });
   }
 
@@ -288,43 +257,6 @@
   }
 }
 
-function createRunningHome(services: ServiceLookup): RunningHome {
-  const clock = services.get(ServiceName.Clock);
-  const membership = services.get(ServiceName.Membership);
-  const metrics = services.get(ServiceName.Metrics);
-  const ownership = services.get(ServiceName.Ownership);
-  const peers = services.get(ServiceName.PeerTransport);
-  const random = services.get(ServiceName.Random);
-  const records = new IdempotencyRecords(clock);
-  const recordOptions = { clock, membership, metrics, peers, records };
-  const standbys = new StandbyRecorder(recordOptions);
-  const transfer = new RecordTransfer({
-    ...recordOptions,
-    ownership,
-    standbys,
-  });
-  addRecordService(services.get(ServiceName.PeerServer), { records, clock });
-  return {
-    clock,
-    log: services.get(ServiceName.Log),
-    metrics,
-    ownership,
-    transport: services.get(ServiceName.BackendTransport),
-    inFlight: new InFlightTable(clock, () => membership.self().daemonId),
-    standbys,
-    transfer,
-    guard: new IdempotencyGuard({
-      clock,
-      random,
-      metrics,
-      records,
-      standbys,
-      transfer,
-    }),
-    services,
-  };
-}
-
 function createNotHome(detail: string): RouterError {
   return new RouterError(MessageCode.NotHome, "dispatch", { detail });
 }
--- a/src/services/home/standby_recorder.ts
+++ b/src/services/home/standby_recorder.ts
@@ -22,7 +22,7 @@
 import type { QueuedRequest } from "./queued_request.ts";
 import { createScope } from "./record_scope.ts";
 import { encodeRecord } from "./record_codec.ts";
-import { Wakeup } from "./wakeup.ts";
+import { ChangeSignal } from "./change_signal.ts";
 
 const callTimeoutMs = 400;
 const batchSize = 200;
@@ -47,7 +47,7 @@
 interface StandbyQueue {
   readonly daemonId: DaemonId;
   readonly pending: PendingRecord[];
-  readonly wakeup: Wakeup;
+  readonly wakeup: ChangeSignal;
 }
 
 /** Sends records to standby daemons. */
@@ -117,7 +117,7 @@
   #queueOf(daemonId: DaemonId): StandbyQueue {
     const known = this.#queues.get(daemonId);
     if (known !== undefined) return known;
-    const queue = { daemonId, pending: [], wakeup: new Wakeup() };
+    const queue = { daemonId, pending: [], wakeup: new ChangeSignal() };
     this.#queues.set(daemonId, queue);
     this.#tasks.push(this.#runQueue(queue));
     return queue;
