Cut no forwarded request on a stop; hold no slot for a caller that does not read

Cause: the peer listener closed its connections while forwarded answers were in flight; an unexpected error after dispatch was reported as "not sent"; a caller that stopped reading kept its request's task, and with it a slot, for ever.

Ruled out: counting a forwarded request as ended when its handler returns; its last bytes may still be in the process. The response's close counts.

ConsolaLog can write to another stream.

--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -135,6 +135,7 @@
         ...splitAddress(settings.peerAddress),
         secret: settings.peerSecret,
         maxHeaderBytes: settings.maxHeaderBytes,
+        drainTimeoutMs: settings.drainTimeoutMs,
       }),
     )
     .register(new DaemonLifecycle())
--- a/src/services/entry/http_caller.ts
+++ b/src/services/entry/http_caller.ts
@@ -13,7 +13,7 @@
 import type { CallerConnections } from "./caller_connections.ts";
 import { requestIdHeader, sendRefusal } from "./refusal.ts";
 import { readBody, readHead, type RequestBounds } from "./request_reader.ts";
-import { writeBody } from "./write_body.ts";
+import { waitUntilClosed, writeBody } from "./write_body.ts";
 
 const internalHeaderPrefix = "skylark-";
 /** Internal headers that callers may see. */
@@ -54,6 +54,7 @@
     requestId,
     context,
     cancellation,
+    deadlineAtMs: routed.deadlineAtMs,
   });
 }
 
@@ -89,12 +90,19 @@
 async function writeAnswer(
   response: ServerResponse,
   answer: RoutedResponse,
-  { requestId, context, cancellation }: {
+  { requestId, context, cancellation, deadlineAtMs }: {
     readonly requestId: string;
     readonly context: CallerContext;
     readonly cancellation: AbortController;
+    readonly deadlineAtMs: number;
   },
 ): Promise<void> {
+  const clock = context.services.get(ServiceName.Clock);
+  // A caller that reads too slowly must not hold the answer's slot.
+  const cancelDeadline = clock.after(
+    deadlineAtMs - clock.nowMs(),
+    () => response.destroy(),
+  );
   try {
     if (context.isDraining()) response.setHeader("connection", "close");
     response.writeHead(answer.status, {
@@ -102,6 +110,7 @@
       [requestIdHeader]: requestId,
     });
     await writeBody(response, answer.body);
+    await waitUntilClosed(response);
   } catch (error) {
     const failure = new RouterError(MessageCode.AnswerBroken, "write answer", {
       outcome: AttemptOutcome.Answered,
@@ -109,6 +118,8 @@
     });
     cancellation.abort(failure);
     sendRefusal(response, failure, { requestId, closesConnection: true });
+  } finally {
+    cancelDeadline();
   }
 }
 
--- a/src/services/entry/http_entry_test.ts
+++ b/src/services/entry/http_entry_test.ts
@@ -395,6 +395,31 @@
         assert.is(entry.counter("requests.answered"), 0);
       }));
 
+    it("breaks the answer of a caller that does not read in time", () =>
+      withEntry(async (entry) => {
+        let isClosed = false;
+        async function* endlessBody(): AsyncIterable<Uint8Array> {
+          try {
+            for (;;) yield Buffer.alloc(65_536);
+          } finally {
+            isClosed = true;
+          }
+        }
+        entry.delivery.script = () =>
+          Promise.resolve(
+            ok({ status: 200, headers: {}, body: endlessBody() }),
+          );
+        const socket = await entry.connect();
+        socket.pause();
+        socket.write(head("/roster/k", ["skylark-deadline-ms: 100"]));
+        for (let attempt = 0; attempt < 2_000 && !isClosed; attempt++) {
+          await new Promise((resolve) => setTimeout(resolve, 5));
+        }
+        assert.ok(isClosed);
+        assert.is(entry.counter("answers.broken"), 1);
+        socket.destroy();
+      }));
+
     it("cancels the request when its caller goes away", () =>
       withEntry(async (entry) => {
         const cancelled = new Promise<void>((resolve) => {
--- a/src/services/entry/write_body.ts
+++ b/src/services/entry/write_body.ts
@@ -22,6 +22,12 @@
   }
 }
 
+/** Resolves when the last byte was handed over or the connection is gone. */
+export function waitUntilClosed(response: ServerResponse): Promise<void> {
+  if (response.closed) return Promise.resolve();
+  return new Promise((resolve) => response.once("close", () => resolve()));
+}
+
 async function waitForDrain(response: ServerResponse): Promise<void> {
   const settled = new AbortController();
   const { signal } = settled;
--- a/src/services/log/consola_log.ts
+++ b/src/services/log/consola_log.ts
@@ -1,5 +1,5 @@
 /** Log lines by consola, as text or as one JSON object a line. */
-import { createConsola } from "consola";
+import { type ConsolaInstance, createConsola } from "consola";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import { Log, type LogFields } from "./log.ts";
@@ -16,22 +16,29 @@
   Error = "error",
 }
 
-/** Writes lines to standard error. */
+/** Settings of the log. */
+export interface ConsolaLogOptions {
+  readonly format: LogFormat;
+  readonly daemonId: string;
+  /** Standard error when omitted. */
+  readonly stream?: NodeJS.WriteStream;
+}
+
+/** Writes lines to standard error or to another stream. */
 export class ConsolaLog extends Log {
   readonly #format: LogFormat;
   readonly #daemonId: string;
-  readonly #consola = createConsola({
-    stdout: process.stderr,
-    stderr: process.stderr,
-  });
+  readonly #stream: NodeJS.WriteStream;
+  readonly #consola: ConsolaInstance;
   #services: ServiceLookup | undefined;
 
-  constructor(
-    options: { readonly format: LogFormat; readonly daemonId: string },
-  ) {
+  constructor(options: ConsolaLogOptions) {
     super();
+    const stream = options.stream ?? process.stderr;
     this.#format = options.format;
     this.#daemonId = options.daemonId;
+    this.#stream = stream;
+    this.#consola = createConsola({ stdout: stream, stderr: stream });
   }
 
   override get needs(): readonly ServiceName[] {
@@ -71,6 +78,6 @@
       message: line.message,
       ...line.fields,
     };
-    process.stderr.write(`${JSON.stringify(record)}\n`);
+    this.#stream.write(`${JSON.stringify(record)}\n`);
   }
 }
--- a/src/services/peers/forward_handler.ts
+++ b/src/services/peers/forward_handler.ts
@@ -4,6 +4,7 @@
 import { MessageCode } from "../../diagnostics/messages.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
+import { AttemptOutcome } from "../../types/enums.ts";
 import { RouterError, toRouterError } from "../../types/errors.ts";
 import { encodeFailure } from "../../types/failure_codec.ts";
 import type { RoutedRequest } from "../../types/types.ts";
@@ -29,8 +30,11 @@
 ): Promise<void> {
   const cancelled = new AbortController();
   response.once("close", () => cancelled.abort());
+  let outcome = AttemptOutcome.NotSent;
   try {
     const routed = await readForward(services, request);
+    // From here on, an unexpected error says nothing about what ran.
+    outcome = AttemptOutcome.Unknown;
     const result = await services.get(ServiceName.Home)
       .dispatch(routed, { signal: cancelled.signal });
     if (result.isErr()) return sendFailure(response, result.error);
@@ -39,6 +43,7 @@
   } catch (error) {
     const failure = toRouterError(error, MessageCode.Internal, {
       step: "handle forwarded request",
+      outcome,
     });
     sendFailure(response, failure);
   }
--- a/src/services/peers/http_forward_test.ts
+++ b/src/services/peers/http_forward_test.ts
@@ -78,6 +78,11 @@
     return this.#kernel.start();
   }
 
+  /** Drains the receiving end only. */
+  drain(): Promise<void> {
+    return this.#server.drain();
+  }
+
   stop(): Promise<void> {
     return this.#kernel.stop();
   }
@@ -144,6 +149,40 @@
     });
   });
 
+  describe("a stop of the home", () => {
+    it("lets the request in progress end first", async () => {
+      let answer: (result: DispatchResult) => void = () => {};
+      const hop = new Hop(() => new Promise((resolve) => answer = resolve));
+      await hop.start();
+      const forwarded = hop.forward();
+      while (hop.home.received.length === 0) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+      let isDrained = false;
+      const drained = hop.drain().then(() => isDrained = true);
+      for (let turn = 0; turn < 10; turn++) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+      const wasDrainedEarly = isDrained;
+      answer(err(new RouterError(MessageCode.NotHome, "test")));
+      const result = await forwarded;
+      await drained;
+      await hop.stop();
+      assert.is(wasDrainedEarly, false);
+      assert.is(result._unsafeUnwrapErr().code, MessageCode.NotHome);
+    });
+  });
+
+  describe("an unexpected error of the home", () => {
+    it("is reported as one that may have run", async () => {
+      const hop = new Hop(() => Promise.reject(new Error("defect")));
+      await hop.start();
+      const result = await hop.forward();
+      await hop.stop();
+      assert.is(result._unsafeUnwrapErr().outcome, AttemptOutcome.Unknown);
+    });
+  });
+
   describe("a failure", () => {
     it("keeps its code and outcome", async () => {
       const hop = new Hop(() =>
--- a/src/services/peers/http_peer_server.ts
+++ b/src/services/peers/http_peer_server.ts
@@ -22,7 +22,9 @@
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import { CounterName } from "../metrics/metrics.ts";
-import { handleForward } from "./forward_handler.ts";
+import { ActiveTasks } from "../entry/active_tasks.ts";
+import { waitUntilClosed } from "../entry/write_body.ts";
+import { handleForward, type HttpExchange } from "./forward_handler.ts";
 import { PeerServer } from "./peer_server.ts";
 import { forwardPath } from "./forward_codec.ts";
 
@@ -30,6 +32,7 @@
 const parserCodePrefix = "HPE_";
 const requestTimeoutMs = 60_000;
 const headersTimeoutMs = 5_000;
+const defaultDrainTimeoutMs = 30_000;
 /** A forwarded head travels in base64 inside another head. */
 const forwardedHeadFactor = 4;
 
@@ -40,11 +43,14 @@
   readonly secret: string;
   /** The largest head that the callers' listener accepts. */
   readonly maxHeaderBytes: number;
+  /** Longest wait for forwarded requests in progress; 30 s when omitted. */
+  readonly drainTimeoutMs?: number;
 }
 
 /** Serves peers and operators over HTTP. */
 export class HttpPeerServer extends PeerServer {
   readonly #options: HttpPeerServerOptions;
+  readonly #active = new ActiveTasks();
   readonly #registrations: ((router: ConnectRouter) => void)[] = [];
   #handleConnect: ReturnType<typeof connectNodeAdapter> | undefined;
   #services: ServiceLookup | undefined;
@@ -91,6 +97,18 @@
     await listen(server, this.#options);
   }
 
+  /** Lets forwarded requests end before connections are closed. */
+  override async drain(): Promise<void> {
+    const { drainTimeoutMs = defaultDrainTimeoutMs } = this.#options;
+    const settled = new AbortController();
+    await Promise.race([
+      this.#active.waitUntilIdle(),
+      this.#services?.get(ServiceName.Clock)
+        .sleep(drainTimeoutMs, settled.signal),
+    ]);
+    settled.abort();
+  }
+
   override async stop(): Promise<void> {
     const server = this.#server;
     if (server === undefined) return;
@@ -114,7 +132,7 @@
       return refuseStranger(response);
     }
     if (request.url === forwardPath) {
-      handleForward(services, { request, response });
+      void this.#forward(services, { request, response });
       return;
     }
     this.#handleConnect ??= connectNodeAdapter({
@@ -124,6 +142,16 @@
     });
     this.#handleConnect(request, response);
   }
+
+  async #forward(
+    services: ServiceLookup,
+    exchange: HttpExchange,
+  ): Promise<void> {
+    this.#active.begin();
+    void handleForward(services, exchange);
+    await waitUntilClosed(exchange.response);
+    this.#active.end();
+  }
 }
 
 /** Answers without a word about the service behind the listener. */
