--- a/src/services/peers/http_forward_test.ts
+++ b/src/services/peers/http_forward_test.ts
@@ -74,17 +74,19 @@
       .register(this.#transport);
   }
 
-  start(): Promise<void> {
-    return this.#kernel.start();
-  }
-
   /** Drains the receiving end only. */
   drain(): Promise<void> {
     return this.#server.drain();
   }
 
-  stop(): Promise<void> {
-    return this.#kernel.stop();
+  /** Runs a test against the started hop; a failure stops it too. */
+  async use(test: () => Promise<void>): Promise<void> {
+    await this.#kernel.start();
+    try {
+      await test();
+    } finally {
+      await this.#kernel.stop();
+    }
   }
 
   forward(
@@ -137,49 +139,49 @@
       const hop = new Hop(() =>
         Promise.resolve(err(new RouterError(MessageCode.NotHome, "test")))
       );
-      await hop.start();
-      const body = Buffer.from("content");
-      await hop.forward({ planRank: 7, idempotencyKey: "once", body });
-      const [received] = hop.home.received;
-      assert.is(received?.key, "schlüssel/ñ");
-      assert.is(received?.planRank, 7);
-      assert.is(received?.idempotencyKey, "once");
-      assert.is(Buffer.from(received!.body).toString(), "content");
-      await hop.stop();
+      await hop.use(async () => {
+        const body = Buffer.from("content");
+        await hop.forward({ planRank: 7, idempotencyKey: "once", body });
+        const [received] = hop.home.received;
+        assert.is(received?.key, "schlüssel/ñ");
+        assert.is(received?.planRank, 7);
+        assert.is(received?.idempotencyKey, "once");
+        assert.is(Buffer.from(received!.body).toString(), "content");
+      });
     });
   });
 
-  describe("a stop of the home", () => {
+  describe("a drain of the home", () => {
     it("lets the request in progress end first", async () => {
       let answer: (result: DispatchResult) => void = () => {};
       const hop = new Hop(() => new Promise((resolve) => answer = resolve));
-      await hop.start();
-      const forwarded = hop.forward();
-      while (hop.home.received.length === 0) {
-        await new Promise((resolve) => setImmediate(resolve));
-      }
-      let isDrained = false;
-      const drained = hop.drain().then(() => isDrained = true);
-      for (let turn = 0; turn < 10; turn++) {
-        await new Promise((resolve) => setImmediate(resolve));
-      }
-      const wasDrainedEarly = isDrained;
-      answer(err(new RouterError(MessageCode.NotHome, "test")));
-      const result = await forwarded;
-      await drained;
-      await hop.stop();
-      assert.is(wasDrainedEarly, false);
-      assert.is(result._unsafeUnwrapErr().code, MessageCode.NotHome);
+      await hop.use(async () => {
+        const forwarded = hop.forward();
+        while (hop.home.received.length === 0) {
+          await new Promise((resolve) => setImmediate(resolve));
+        }
+        let isDrained = false;
+        const drained = hop.drain().then(() => isDrained = true);
+        for (let turn = 0; turn < 10; turn++) {
+          await new Promise((resolve) => setImmediate(resolve));
+        }
+        assert.is(isDrained, false);
+        answer(err(new RouterError(MessageCode.NotHome, "test")));
+        const result = await forwarded;
+        await drained;
+        assert.is(result._unsafeUnwrapErr().code, MessageCode.NotHome);
+      });
     });
   });
 
   describe("an unexpected error of the home", () => {
     it("is reported as one that may have run", async () => {
       const hop = new Hop(() => Promise.reject(new Error("defect")));
-      await hop.start();
-      const result = await hop.forward();
-      await hop.stop();
-      assert.is(result._unsafeUnwrapErr().outcome, AttemptOutcome.Unknown);
+      await hop.use(async () => {
+        const result = await hop.forward();
+        const { outcome } = result._unsafeUnwrapErr();
+        assert.is(outcome, AttemptOutcome.Unknown);
+      });
     });
   });
 
@@ -192,12 +194,12 @@
           }),
         ))
       );
-      await hop.start();
-      const result = await hop.forward();
-      assert.ok(result.isErr());
-      assert.is(result.error.code, MessageCode.BackendRefused);
-      assert.is(result.error.outcome, AttemptOutcome.RefusedUnrun);
-      await hop.stop();
+      await hop.use(async () => {
+        const result = await hop.forward();
+        assert.ok(result.isErr());
+        assert.is(result.error.code, MessageCode.BackendRefused);
+        assert.is(result.error.outcome, AttemptOutcome.RefusedUnrun);
+      });
     });
   });
 
@@ -211,17 +213,17 @@
       const hop = new Hop(() =>
         Promise.resolve(ok({ status: 200, headers: {}, body: body() }))
       );
-      await hop.start();
-      const result = await hop.forward();
-      assert.ok(result.isOk());
-      let isBroken = false;
-      try {
-        for await (const _chunk of result.value.body);
-      } catch {
-        isBroken = true;
-      }
-      assert.ok(isBroken);
-      await hop.stop();
+      await hop.use(async () => {
+        const result = await hop.forward();
+        assert.ok(result.isOk());
+        let isBroken = false;
+        try {
+          for await (const _chunk of result.value.body);
+        } catch {
+          isBroken = true;
+        }
+        assert.ok(isBroken);
+      });
     });
   });
 
@@ -235,11 +237,14 @@
         caller.abort();
         return new Promise(() => {});
       });
-      await hop.start();
-      const result = await hop.forward({}, caller.signal);
-      assert.is(result.isErr() && result.error.outcome, AttemptOutcome.Unknown);
-      await aborted;
-      await hop.stop();
+      await hop.use(async () => {
+        const result = await hop.forward({}, caller.signal);
+        assert.is(
+          result.isErr() && result.error.outcome,
+          AttemptOutcome.Unknown,
+        );
+        await aborted;
+      });
     });
   });
 });
