--- a/src/services/peers/http_forward_test.ts
+++ b/src/services/peers/http_forward_test.ts
@@ -74,6 +74,11 @@
       .register(this.#transport);
   }
 
+  /** Drains the receiving end only. */
+  drain(): Promise<void> {
+    return this.#server.drain();
+  }
+
   /** Runs a test against the started hop; a failure stops it too. */
   async use(test: () => Promise<void>): Promise<void> {
     await this.#kernel.start();
@@ -146,6 +151,40 @@
     });
   });
 
+  describe("a drain of the home", () => {
+    it("lets the request in progress end first", async () => {
+      let answer: (result: DispatchResult) => void = () => {};
+      const hop = new Hop(() => new Promise((resolve) => answer = resolve));
+      await hop.use(async () => {
+        const forwarded = hop.forward();
+        while (hop.home.received.length === 0) {
+          await new Promise((resolve) => setImmediate(resolve));
+        }
+        let isDrained = false;
+        const drained = hop.drain().then(() => isDrained = true);
+        for (let turn = 0; turn < 10; turn++) {
+          await new Promise((resolve) => setImmediate(resolve));
+        }
+        assert.is(isDrained, false);
+        answer(err(new RouterError(MessageCode.NotHome, "test")));
+        const result = await forwarded;
+        await drained;
+        assert.is(result._unsafeUnwrapErr().code, MessageCode.NotHome);
+      });
+    });
+  });
+
+  describe("an unexpected error of the home", () => {
+    it("is reported as one that may have run", async () => {
+      const hop = new Hop(() => Promise.reject(new Error("defect")));
+      await hop.use(async () => {
+        const result = await hop.forward();
+        const { outcome } = result._unsafeUnwrapErr();
+        assert.is(outcome, AttemptOutcome.Unknown);
+      });
+    });
+  });
+
   describe("a failure", () => {
     it("keeps its code and outcome", async () => {
       const hop = new Hop(() =>
