--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -11,6 +11,13 @@
 const recoveryTimeoutMs = 10_000;
 const retryIntervalMs = 50;
 
+/** Customers of the example lists. */
+const customerByService: Readonly<Record<string, string>> = {
+  confirmation: "cuadrillas-members",
+  roster: "cuadrillas-members",
+  "flood-map": "puddlewatch-residents",
+};
+
 const fleet = new DemoFleet({
   daemonCount: 3,
   serverCountByService: { confirmation: 2, roster: 3, "flood-map": 3 },
@@ -32,7 +39,7 @@
     {
       method: options.method,
       headers: {
-        "skylark-customer": "cuadrillas",
+        "skylark-customer": customerByService[service] ?? "",
         "skylark-deadline-ms": "1000",
       },
     },
--- a/scripts/demo_fleet.ts
+++ b/scripts/demo_fleet.ts
@@ -7,6 +7,7 @@
 import { request } from "undici";
 import { VmRole, VmState } from "../src/types/enums.ts";
 import type { VmRecord } from "../src/types/types.ts";
+import { applyExampleLists } from "./apply_example_lists.ts";
 import {
   findFreePort,
   ProcessGroup,
@@ -82,6 +83,9 @@
     for (let index = 0; index < this.#shape.daemonCount; index++) {
       await this.startDaemon(index);
     }
+    await applyExampleLists(this.daemons[0]!.peerAddress, {
+      peerSecret: demoPeerSecret,
+    });
     await Promise.all(
       this.daemons.map((daemon) =>
         waitForStatus(`http://${daemon.entryAddress}/-/ready`)
--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -13,15 +13,20 @@
 import { RetryingDelivery } from "../services/delivery/retrying_delivery.ts";
 import { HttpEntry } from "../services/entry/http_entry.ts";
 import { SlotHome } from "../services/home/slot_home.ts";
+import { StoredLists } from "../services/lists/stored_lists.ts";
+import { DaemonLifecycle } from "../services/lifecycle/daemon_lifecycle.ts";
 import { ConsolaLog } from "../services/log/consola_log.ts";
 import { SyncedMembership } from "../services/membership/synced_membership.ts";
 import { StatsdMetrics } from "../services/metrics/statsd_metrics.ts";
 import { ConnectOperator } from "../services/operator/connect_operator.ts";
 import { CoordinatedOwnership } from "../services/ownership/coordinated_ownership.ts";
-import { LeastLoadedPlacement } from "../services/ownership/least_loaded_placement.ts";
+import type { HashFunction } from "../services/ownership/key_hash.ts";
+import type { Placement } from "../services/ownership/placement.ts";
+import { MinimumMovePlacement } from "../services/ownership/placement_minimum_move.ts";
+import { AdmittingPipeline } from "../services/pipeline/admitting_pipeline.ts";
 import { HttpPeerServer } from "../services/peers/http_peer_server.ts";
 import { HttpPeerTransport } from "../services/peers/http_peer_transport.ts";
-import type { Settings } from "./settings.ts";
+import type { Settings } from "./settings_schema.ts";
 
 const connectTimeoutMs = 500;
 const peerCallTimeoutMs = 1_000;
@@ -80,17 +85,21 @@
 }
 
 /** The settings that the deciding services need. */
-export type DecisionSettings = Pick<
-  Settings,
-  | "daemonId"
-  | "region"
-  | "dataCentre"
-  | "peerAddress"
-  | "services"
-  | "permitDurationMs"
-  | "leaseDurationMs"
-  | "ownershipIntervalMs"
->;
+export interface DecisionSettings extends
+  Pick<
+    Settings,
+    | "daemonId"
+    | "region"
+    | "dataCentre"
+    | "peerAddress"
+    | "services"
+    | "permitDurationMs"
+    | "leaseDurationMs"
+    | "ownershipIntervalMs"
+  > {
+  /** Makes the placement of the shards; minimum move when omitted. */
+  readonly createPlacement?: (hash: HashFunction) => Placement;
+}
 
 /**
  * Registers the services that decide. They reach their environment only
@@ -112,7 +121,8 @@
       new CoordinatedOwnership({
         region: settings.region,
         definitions: settings.services,
-        placement: new LeastLoadedPlacement(),
+        createPlacement: settings.createPlacement ??
+          ((hash) => new MinimumMovePlacement({ hash })),
         syncIntervalMs: settings.ownershipIntervalMs,
         permitDurationMs: settings.permitDurationMs,
         leaseDurationMs: settings.leaseDurationMs,
@@ -120,7 +130,9 @@
     )
     .register(new SlotHome())
     .register(new RetryingDelivery())
-    .register(new OpenAdmission());
+    .register(new StoredLists())
+    .register(new OpenAdmission())
+    .register(new AdmittingPipeline());
 }
 
 function registerFaces(kernel: Kernel, settings: Settings): void {
@@ -129,8 +141,10 @@
       new HttpPeerServer({
         ...splitAddress(settings.peerAddress),
         secret: settings.peerSecret,
+        maxHeaderBytes: settings.maxHeaderBytes,
       }),
     )
+    .register(new DaemonLifecycle())
     .register(new ConnectOperator())
     .register(
       new HttpEntry({ ...settings, ...splitAddress(settings.entryAddress) }),
@@ -145,6 +159,7 @@
 function splitAddress(
   address: string,
 ): { readonly host: string; readonly port: number } {
-  const [host = "", port = ""] = address.split(":");
-  return { host, port: Number(port) };
+  const portIndex = address.lastIndexOf(":");
+  const host = address.slice(0, portIndex).replace(/^\[|\]$/g, "");
+  return { host, port: Number(address.slice(portIndex + 1)) };
 }
--- a/src/services/metrics/metrics.ts
+++ b/src/services/metrics/metrics.ts
@@ -12,6 +12,7 @@
   RequestsAnswered = "requests.answered",
   RequestsRefused = "requests.refused",
   RequestsMalformed = "requests.malformed",
+  AnswersBroken = "answers.broken",
   RequestsForwarded = "requests.forwarded",
   AttemptsSent = "attempts.sent",
   AttemptsRetried = "attempts.retried",
@@ -19,6 +20,11 @@
   AttemptsRefusedUnrun = "attempts.refused_unrun",
   RepeatsAnswered = "repeats.answered",
   RequestsShed = "requests.shed",
+  RequestsExpired = "requests.expired",
+  RetryBudgetRefusals = "retries.over_budget",
+  IntentsRefused = "intents.refused",
+  IntentsUnprotected = "intents.unprotected",
+  RecordsMissing = "records.missing",
   LimitRefusals = "limits.refused",
   MovesStarted = "moves.started",
   MovesFinished = "moves.finished",
@@ -32,6 +38,8 @@
   ProbesSent = "probes.sent",
   ListsAccepted = "lists.accepted",
   ListsRefused = "lists.refused",
+  ListsStaleIgnored = "lists.stale_ignored",
+  ListsFetchedFromPeer = "lists.fetched_from_peer",
 }
 
 /** The parts of a request's time that are recorded. */
--- a/src/services/ownership/control_options.ts
+++ b/src/services/ownership/control_options.ts
@@ -1,12 +1,14 @@
 /** Settings of the ownership service and the durations derived from them. */
 import type { ServiceDefinition } from "../../types/types.ts";
+import type { HashFunction } from "./key_hash.ts";
 import type { Placement } from "./placement.ts";
 
 /** Settings of the ownership service. */
 export interface ControlOptions {
   readonly region: string;
   readonly definitions: readonly ServiceDefinition[];
-  readonly placement: Placement;
+  /** Makes the placement of all services, once the hash is loaded. */
+  readonly createPlacement: (hash: HashFunction) => Placement;
   /** Interval between two syncs of a daemon with its parent. */
   readonly syncIntervalMs: number;
   readonly permitDurationMs: number;
@@ -41,5 +43,7 @@
 export const watcherStaggerMs = 150;
 /** Interval between two plans for the sake of balance. */
 export const rebalanceIntervalMs = 1_000;
+/** Moves for balance wait while the table takes longer than this to commit. */
+export const maxRebalanceCommitMs = 150;
 /** Time that a stopping daemon waits for its servers to find a new home. */
 export const drainTimeoutMs = 5_000;
--- a/src/services/ownership/fleet_view.ts
+++ b/src/services/ownership/fleet_view.ts
@@ -4,19 +4,13 @@
  */
 import type { BackendServerState } from "../../types/enums.ts";
 import type { DaemonId, DaemonInfo, ServerId } from "../../types/types.ts";
-import type { KeyRate, ServerObservation } from "./ownership.ts";
+import type { RateBook } from "./rate_book.ts";
 import type { RelayedReport } from "./report_relay.ts";
 import type { HeardDaemon, ReleaseReport } from "./sync_messages.ts";
 
-/** Weight of the newest rate in the smoothed one. */
-const rateSmoothing = 0.3;
-
 /** What is known of one backend server. */
 export interface ServerFigures {
   readonly state: BackendServerState;
-  readonly requestsPerSecond: number;
-  readonly hotKeys: readonly KeyRate[];
-  readonly observedAtMs: number;
 }
 
 interface DaemonFigures {
@@ -26,10 +20,15 @@
 
 /** Gathers reports. */
 export class FleetView {
+  readonly #rates: RateBook;
   readonly #daemons = new Map<DaemonId, DaemonFigures>();
   readonly #releases = new Map<string, number>();
   readonly #servers = new Map<ServerId, ServerFigures>();
 
+  constructor(rates: RateBook) {
+    this.#rates = rates;
+  }
+
   /** Notes that a daemon was heard, or assumes it at a given instant. */
   hear(daemon: DaemonInfo, heardAtMs: number): void {
     const known = this.#daemons.get(daemon.daemonId);
@@ -53,7 +52,8 @@
     for (const release of report.releases) this.#release(release);
     for (const { observerId, observation } of report.observations) {
       if (!isHomeOf(observerId, observation.serverId)) continue;
-      this.#observe(observation, nowMs);
+      this.#servers.set(observation.serverId, { state: observation.state });
+      this.#rates.add(observation);
     }
   }
 
@@ -87,19 +87,4 @@
     const known = this.#releases.get(subject) ?? 0;
     this.#releases.set(subject, Math.max(known, version));
   }
-
-  #observe(observation: ServerObservation, nowMs: number): void {
-    const known = this.#servers.get(observation.serverId);
-    const elapsedMs = nowMs - (known?.observedAtMs ?? nowMs);
-    const before = known?.requestsPerSecond ?? 0;
-    const rate = elapsedMs > 0
-      ? observation.completedCount / elapsedMs * 1_000
-      : before;
-    this.#servers.set(observation.serverId, {
-      state: observation.state,
-      requestsPerSecond: before + (rate - before) * rateSmoothing,
-      hotKeys: observation.hotKeys,
-      observedAtMs: nowMs,
-    });
-  }
 }
--- a/src/services/ownership/sync_codec.ts
+++ b/src/services/ownership/sync_codec.ts
@@ -3,9 +3,9 @@
 import { create } from "@bufbuild/protobuf";
 import {
   type Announcement as AnnouncementMessage,
-  type Daemon,
-  DaemonSchema,
   type Observation,
+  type PeerDaemon,
+  PeerDaemonSchema,
   type SyncRequest,
   SyncRequestSchema,
   type SyncResponse,
@@ -32,12 +32,12 @@
 const serverStates: readonly string[] = Object.values(BackendServerState);
 
 /** Encodes a daemon. */
-export function encodeDaemon(daemon: DaemonInfo): Daemon {
-  return create(DaemonSchema, { ...daemon });
+export function encodeDaemon(daemon: DaemonInfo): PeerDaemon {
+  return create(PeerDaemonSchema, { ...daemon });
 }
 
 /** Decodes a daemon. */
-export function decodeDaemon(message: Daemon | undefined): DaemonInfo {
+export function decodeDaemon(message: PeerDaemon | undefined): DaemonInfo {
   const { daemonId = "", address = "", dataCentre = "", isDraining = false } =
     message ?? {};
   return { daemonId, address, dataCentre, isDraining };
@@ -66,6 +66,8 @@
       observerId,
       ...observation,
       hotKeys: observation.hotKeys.map((hotKey) => ({ ...hotKey })),
+      shards: observation.shardCounts.map(({ shard }) => shard),
+      shardCounts: observation.shardCounts.map(({ count }) => count),
     })),
     announcements: report.announcements.map(encodeAnnouncement),
   });
@@ -193,6 +195,10 @@
         key,
         requestsPerSecond,
       })),
+      shardCounts: message.shards.map((shard, index) => ({
+        shard,
+        count: message.shardCounts[index] ?? 0,
+      })),
     },
   };
 }
--- a/src/services/ownership/least_loaded_placement.ts
+++ b/src/testing/still_placement.ts
@@ -1,14 +1,17 @@
-/** Gives each shard without an owner to the server that owns the fewest. */
-import { MoveReason } from "../../types/enums.ts";
-import type { ServerId } from "../../types/types.ts";
+/**
+ * A placement for tests of losses and moves that are forced: it gives shards
+ * without an owner to the server with the fewest, and moves nothing by choice.
+ */
 import {
   Placement,
   type PlacementInput,
   type PlannedMove,
-} from "./placement.ts";
+} from "../services/ownership/placement.ts";
+import { MoveReason } from "../types/enums.ts";
+import type { ServerId } from "../types/types.ts";
 
 /** Moves nothing that has an owner. */
-export class LeastLoadedPlacement extends Placement {
+export class StillPlacement extends Placement {
   override plan(input: PlacementInput): readonly PlannedMove[] {
     const counts = new Map<ServerId, number>();
     for (const server of input.servers) {
@@ -18,19 +21,14 @@
       const count = owner === undefined ? undefined : counts.get(owner);
       if (count !== undefined) counts.set(owner!, count + 1);
     }
-    const serverIds = new Set(input.servers.map(({ serverId }) => serverId));
     const moves: PlannedMove[] = [];
     for (const [shard, owner] of input.shardOwners.entries()) {
-      if (owner !== undefined && serverIds.has(owner)) continue;
+      if (owner !== undefined) continue;
       const toServerId = findLeast(counts);
       if (toServerId === undefined) break;
       counts.set(toServerId, counts.get(toServerId)! + 1);
-      moves.push({
-        shard,
-        key: undefined,
-        toServerId,
-        reason: MoveReason.Initial,
-      });
+      const reason = MoveReason.Initial;
+      moves.push({ shard, key: undefined, toServerId, reason });
     }
     return moves;
   }
--- a/src/types/enums.ts
+++ b/src/types/enums.ts
@@ -18,6 +18,14 @@
   Unknown = "unknown",
 }
 
+/** Why a backend server refused a request without running it. */
+export enum RefusalReason {
+  Fence = "fence",
+  Shedding = "shedding",
+  Draining = "draining",
+  StartDeadline = "start-deadline",
+}
+
 /** Whether a service's backend servers verify the fence of each request. */
 export enum FencingMode {
   Checked = "checked",
@@ -74,3 +82,13 @@
   Ready = "ready",
   Draining = "draining",
 }
+
+/** How current the lists are that a daemon has in force. */
+export enum ListsFreshness {
+  /** No lists are known; the daemon is not ready. */
+  Missing = "missing",
+  /** Taken from a peer; the platform has not been read since the start. */
+  PossiblyStale = "possibly-stale",
+  /** Read from the platform since the start. */
+  Confirmed = "confirmed",
+}
