--- a/bench/recovery_time.ts
+++ b/bench/recovery_time.ts
@@ -103,7 +103,7 @@
     seed,
     daemonCount,
     serverCount,
-    settings: { createPlacement: () => new StillPlacement() },
+    settings: { placement: new StillPlacement() },
   });
   await fleet.start();
   const traffic = new KeyTraffic(fleet, { keyCount: 48 });
--- /dev/null
+++ b/src/cli/commands/lists_show_command.ts
@@ -0,0 +1,65 @@
+/** `lists show`: the lists in force, printed or written to a folder. */
+import {
+  type GetListsResponse,
+  ListsService,
+} from "../../gen/skylarkridge/v1/lists_pb.ts";
+import { ListName } from "../../services/lists/list_schema.ts";
+import { Command, type CommandContext, printResult } from "../command.ts";
+import { ToolExitCode } from "../exit_code.ts";
+import { formatWallTime } from "../table.ts";
+import { ToolError } from "../tool_error.ts";
+
+/** Shows the lists in force. */
+export class ListsShowCommand extends Command {
+  override readonly name = "lists show";
+  override readonly usage = "[--out FOLDER]";
+  override readonly summary = "the lists in force and their version";
+  override readonly minArgumentCount = 0;
+  override readonly maxArgumentCount = 0;
+
+  override async run(context: CommandContext): Promise<ToolExitCode> {
+    const lists = await context.fleet.ask(
+      ListsService,
+      (client) => client.getLists({}),
+    );
+    if (lists.revision === undefined || lists.texts === undefined) {
+      throw new ToolError(ToolExitCode.NotFound, "no lists are in force");
+    }
+    const { out } = context.flags;
+    if (out !== undefined) await writeLists(context, lists, out);
+    const render = out === undefined ? formatWhole : formatRevision;
+    printResult(context, lists, { render });
+    return ToolExitCode.Success;
+  }
+}
+
+async function writeLists(
+  { files }: CommandContext,
+  { texts }: GetListsResponse,
+  folder: string,
+): Promise<void> {
+  await files.write(`${folder}/${ListName.Plans}`, texts?.plansText ?? "");
+  await files.write(
+    `${folder}/${ListName.Allowances}`,
+    texts?.allowancesText ?? "",
+  );
+}
+
+function formatRevision({ revision, freshness }: GetListsResponse): string[] {
+  if (revision === undefined) return [];
+  const time = formatWallTime(revision.wallTimeMs);
+  return [
+    `version ${revision.version}, by ${revision.author}, ${time}, ${freshness}`,
+  ];
+}
+
+function formatWhole(lists: GetListsResponse): string[] {
+  const { texts } = lists;
+  return [
+    ...formatRevision(lists),
+    `--- ${ListName.Plans}`,
+    texts?.plansText.trimEnd() ?? "",
+    `--- ${ListName.Allowances}`,
+    texts?.allowancesText.trimEnd() ?? "",
+  ];
+}
--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -20,7 +20,6 @@
 import { StatsdMetrics } from "../services/metrics/statsd_metrics.ts";
 import { ConnectOperator } from "../services/operator/connect_operator.ts";
 import { CoordinatedOwnership } from "../services/ownership/coordinated_ownership.ts";
-import type { HashFunction } from "../services/ownership/key_hash.ts";
 import type { Placement } from "../services/ownership/placement.ts";
 import { MinimumMovePlacement } from "../services/ownership/placement_minimum_move.ts";
 import { AdmittingPipeline } from "../services/pipeline/admitting_pipeline.ts";
@@ -30,7 +29,7 @@
 
 const connectTimeoutMs = 500;
 const peerCallTimeoutMs = 1_000;
-const connectionsPerPeer = 16;
+const connectionsPerPeer = 64;
 
 /** Registers every service that a daemon runs. */
 export function createDaemon(settings: Settings): Kernel {
@@ -97,8 +96,8 @@
     | "leaseDurationMs"
     | "ownershipIntervalMs"
   > {
-  /** Makes the placement of the shards; minimum move when omitted. */
-  readonly createPlacement?: (hash: HashFunction) => Placement;
+  /** Decides who owns what; minimum move when omitted. */
+  readonly placement?: Placement;
 }
 
 /**
@@ -121,8 +120,7 @@
       new CoordinatedOwnership({
         region: settings.region,
         definitions: settings.services,
-        createPlacement: settings.createPlacement ??
-          ((hash) => new MinimumMovePlacement({ hash })),
+        placement: settings.placement ?? new MinimumMovePlacement(),
         syncIntervalMs: settings.ownershipIntervalMs,
         permitDurationMs: settings.permitDurationMs,
         leaseDurationMs: settings.leaseDurationMs,
--- a/src/services/home/health_task.ts
+++ b/src/services/home/health_task.ts
@@ -114,6 +114,6 @@
     completedCount: server.takeCompletedCount(),
     queuedCount: server.queuedCount,
     hotKeys: server.hotKeys.takeTop(reportedKeyCount, elapsedMs),
-    shardCounts: server.takeShardCounts(),
+    shardCounts: server.shardCounts.take(),
   });
 }
--- a/src/services/home/homed_server.ts
+++ b/src/services/home/homed_server.ts
@@ -8,12 +8,12 @@
 import { RouterError } from "../../types/errors.ts";
 import type { AssignedServer, ServiceDefinition } from "../../types/types.ts";
 import { err } from "neverthrow";
-import type { ShardCount } from "../ownership/ownership.ts";
 import { ClassQueue } from "./class_queue.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { HotKeyCounter } from "./hot_key_counter.ts";
 import type { QueuedRequest } from "./queued_request.ts";
 import type { ServerGrants } from "./server_grants.ts";
+import { ShardCounter } from "./shard_counter.ts";
 import { ServerHealth } from "./server_health.ts";
 import { Wakeup } from "./wakeup.ts";
 
@@ -31,7 +31,7 @@
   readonly limit: ConcurrencyLimit;
   readonly health: ServerHealth;
   readonly hotKeys = new HotKeyCounter(hotKeyCounterCount);
-  readonly #shardCounts = new Map<number, number>();
+  readonly shardCounts = new ShardCounter();
   /** Ends the server's tasks when it is no longer homed here. */
   readonly retired = new AbortController();
   /** Wakes the health task. */
@@ -111,20 +111,6 @@
     this.#work.notify();
   }
 
-  /** Counts a request for a key of a shard. */
-  noteRequested(key: string, shard: number): void {
-    this.hotKeys.add(key);
-    this.#shardCounts.set(shard, (this.#shardCounts.get(shard) ?? 0) + 1);
-  }
-
-  /** Returns the requests of each shard since the last call. */
-  takeShardCounts(): ShardCount[] {
-    const counts = [...this.#shardCounts]
-      .map(([shard, count]) => ({ shard, count }));
-    this.#shardCounts.clear();
-    return counts;
-  }
-
   /** Counts a completed request. */
   noteCompleted(): void {
     this.#completedCount += 1;
--- a/src/services/home/slot_home.ts
+++ b/src/services/home/slot_home.ts
@@ -199,7 +199,8 @@
       attemptId,
       queuedAtMs,
     });
-    homed.noteRequested(request.key, location.shard);
+    homed.hotKeys.add(request.key);
+    homed.shardCounts.add(location.shard);
     homed.enqueue(entry);
     abort.aborted.then(() => this.#dropQueued(homed, entry));
     const result = await entry.result;
--- a/src/services/ownership/control_options.ts
+++ b/src/services/ownership/control_options.ts
@@ -1,14 +1,12 @@
 /** Settings of the ownership service and the durations derived from them. */
 import type { ServiceDefinition } from "../../types/types.ts";
-import type { HashFunction } from "./key_hash.ts";
 import type { Placement } from "./placement.ts";
 
 /** Settings of the ownership service. */
 export interface ControlOptions {
   readonly region: string;
   readonly definitions: readonly ServiceDefinition[];
-  /** Makes the placement of all services, once the hash is loaded. */
-  readonly createPlacement: (hash: HashFunction) => Placement;
+  readonly placement: Placement;
   /** Interval between two syncs of a daemon with its parent. */
   readonly syncIntervalMs: number;
   readonly permitDurationMs: number;
--- a/src/services/ownership/control_state.ts
+++ b/src/services/ownership/control_state.ts
@@ -21,7 +21,6 @@
 import { MemberRecord } from "./member_record.ts";
 import { OwnPermit } from "./own_permit.ts";
 import type { InFlightSource } from "./ownership.ts";
-import type { Placement } from "./placement.ts";
 import { ReportRelay } from "./report_relay.ts";
 import type { CoordinatorView, ReleaseReport } from "./sync_messages.ts";
 import { WakeSignal } from "./wake_signal.ts";
@@ -38,7 +37,6 @@
   readonly membership: Membership;
   readonly options: ControlOptions;
   readonly hash: HashFunction;
-  readonly placement: Placement;
   readonly book = new AssignmentBook();
   readonly record = new MemberRecord();
   readonly relay = new ReportRelay();
@@ -71,7 +69,6 @@
     this.membership = services.get(ServiceName.Membership);
     this.options = options;
     this.hash = hash;
-    this.placement = options.createPlacement(hash);
     this.permit = new OwnPermit(options.permitDurationMs);
   }
 
--- a/src/services/ownership/coordinated_ownership.ts
+++ b/src/services/ownership/coordinated_ownership.ts
@@ -25,6 +25,7 @@
 import { LeaseStore } from "./lease_store.ts";
 import { LeaseTask } from "./lease_task.ts";
 import {
+  type CoordinatorStatus,
   type HomePermit,
   type InFlightSource,
   Ownership,
@@ -174,6 +175,19 @@
     state.decisions.set();
   }
 
+  override coordinator(): CoordinatorStatus | undefined {
+    const state = this.#state;
+    const view = state?.record.view();
+    if (state === undefined || view === undefined) return undefined;
+    if (view.epoch === 0) return undefined;
+    const remainingMs = state.permitExpiresAtMs() - state.clock.nowMs();
+    return {
+      daemonId: view.holderId,
+      epoch: view.epoch,
+      permitRemainingMs: Math.max(0, remainingMs),
+    };
+  }
+
   override history(): readonly MoveRecord[] {
     return this.#state?.book.moves() ?? [];
   }
--- a/src/services/ownership/coordinator.ts
+++ b/src/services/ownership/coordinator.ts
@@ -3,18 +3,12 @@
  * authority, what it heard, the permits it gave, and the plan of every row.
  * It decides only; `lease_store.ts` commits what it decides.
  */
-import { MoveReason, VmRole, VmState } from "../../types/enums.ts";
-import type {
-  DaemonId,
-  DaemonInfo,
-  ServerId,
-  ServiceDefinition,
-} from "../../types/types.ts";
+import { VmRole, VmState } from "../../types/enums.ts";
+import type { DaemonId, DaemonInfo, ServerId } from "../../types/types.ts";
 import {
   type AssignmentRow,
   noHomeDaemonId,
   type PendingRelease,
-  ReleaseKind,
 } from "./assignment_codec.ts";
 import { Authority } from "./authority.ts";
 import {
@@ -28,9 +22,9 @@
 import { FleetView } from "./fleet_view.ts";
 import { HomeChooser, type HomeLoads } from "./home_assignment.ts";
 import { planMoves } from "./move_planner.ts";
+import { computeShard } from "./key_hash.ts";
 import { PermitLedger } from "./permit_ledger.ts";
-import { computeMovesPerSecond, MoveBudget } from "./placement_budget.ts";
-import { RateBook } from "./rate_book.ts";
+import { ServiceRates } from "./placement_service_rates.ts";
 import type { SyncReport } from "./sync_messages.ts";
 import { tryGetParent } from "./sync_tree.ts";
 
@@ -49,11 +43,10 @@
 export class Coordinator {
   readonly authority: Authority;
   readonly fleet: FleetView;
-  readonly #rates: RateBook;
   readonly #state: ControlState;
   readonly #ledger: PermitLedger;
   readonly #origin: LeaseOrigin;
-  readonly #budgets = new Map<string, MoveBudget>();
+  readonly #rates: ReadonlyMap<string, ServiceRates>;
   readonly #handedOutAtMs = new Map<string, number>();
   #highestPromise = 0;
   #rebalancedAtMs: number;
@@ -63,10 +56,10 @@
   constructor(state: ControlState, origin: LeaseOrigin) {
     const { leaseDurationMs, permitDurationMs } = state.options;
     this.#state = state;
-    this.#rates = new RateBook(state.hash);
-    this.fleet = new FleetView(this.#rates);
     this.#origin = origin;
     this.#rebalancedAtMs = origin.takenAtMs;
+    this.#rates = createRates(state, origin.takenAtMs);
+    this.fleet = new FleetView(this.#rates);
     this.authority = new Authority(state.selfId(), leaseDurationMs);
     this.#ledger = new PermitLedger({
       permitDurationMs,
@@ -214,18 +207,21 @@
       loads: this.#countLoads(),
       serverCount: servers.length,
     });
-    const mayRebalance = this.#beginRebalance(nowMs);
-    const { options, book, clock, random, hash, placement } = this.#state;
-    return options.definitions.flatMap((definition) => {
-      const budget = this.#getBudget(definition, nowMs);
-      const row = planMoves({
+    const mayRebalance = this.#commitDurationMs <= maxRebalanceCommitMs &&
+      nowMs - this.#rebalancedAtMs >= rebalanceIntervalMs;
+    if (mayRebalance) {
+      this.#rebalancedAtMs = nowMs;
+      for (const rates of this.#rates.values()) rates.update(nowMs);
+    }
+    const { options, book, clock, random, hash } = this.#state;
+    return options.definitions.flatMap((definition) =>
+      planMoves({
         definition,
         hash,
         homes,
         mayRebalance,
-        placement,
-        rates: this.#rates.rates(definition),
-        moveBudget: mayRebalance ? budget.available(nowMs) : 0,
+        placement: options.placement,
+        rates: this.#rates.get(definition.name)!,
         row: book.tryGet(definition.name),
         listedServers: servers.filter((vm) => vm.service === definition.name),
         tryGetFigures: (serverId: ServerId) =>
@@ -240,33 +236,8 @@
           wallTimeMs: clock.wallTimeMs(),
           writeId: random.nextId(),
         },
-      });
-      if (row === undefined) return [];
-      budget.spend(countChosenMoves(row));
-      return [row];
-    });
-  }
-
-  /** Once an interval: takes in the counts and allows moves for balance. */
-  #beginRebalance(nowMs: number): boolean {
-    if (this.#commitDurationMs > maxRebalanceCommitMs) return false;
-    const intervalMs = nowMs - this.#rebalancedAtMs;
-    if (intervalMs < rebalanceIntervalMs) return false;
-    this.#rebalancedAtMs = nowMs;
-    for (const definition of this.#state.options.definitions) {
-      this.#rates.sample(definition, intervalMs);
-    }
-    return true;
-  }
-
-  /** What a service may still move for the sake of balance. */
-  #getBudget(definition: ServiceDefinition, nowMs: number): MoveBudget {
-    const known = this.#budgets.get(definition.name);
-    if (known !== undefined) return known;
-    const movesPerSecond = computeMovesPerSecond(definition.shardCount);
-    const budget = new MoveBudget(nowMs, { movesPerSecond });
-    this.#budgets.set(definition.name, budget);
-    return budget;
+      }) ?? []
+    );
   }
 
   /**
@@ -340,14 +311,15 @@
   }
 }
 
-/** Shards and keys that a row withdraws by choice, not because it must. */
-function countChosenMoves(row: AssignmentRow): number {
-  return row.pendingReleases
-    .filter(({ kind, sinceVersion }) =>
-      kind !== ReleaseKind.Home && sinceVersion === row.version
-    )
-    .filter(({ reason }) =>
-      reason !== MoveReason.ServerLost && reason !== MoveReason.ServerDraining
-    )
-    .reduce((count, { shards }) => count + Math.max(1, shards.length), 0);
+function createRates(
+  { options, hash }: ControlState,
+  nowMs: number,
+): ReadonlyMap<string, ServiceRates> {
+  return new Map(options.definitions.map((definition) => [
+    definition.name,
+    new ServiceRates(nowMs, {
+      shardCount: definition.shardCount,
+      shardOf: (key) => computeShard(hash, key, definition),
+    }),
+  ]));
 }
--- a/src/services/ownership/fleet_view.ts
+++ b/src/services/ownership/fleet_view.ts
@@ -4,13 +4,20 @@
  */
 import type { BackendServerState } from "../../types/enums.ts";
 import type { DaemonId, DaemonInfo, ServerId } from "../../types/types.ts";
-import type { RateBook } from "./rate_book.ts";
+import type { KeyRate, ServerObservation } from "./ownership.ts";
+import type { ServiceRates } from "./placement_service_rates.ts";
 import type { RelayedReport } from "./report_relay.ts";
 import type { HeardDaemon, ReleaseReport } from "./sync_messages.ts";
 
+/** Weight of the newest rate in the smoothed one. */
+const rateSmoothing = 0.3;
+
 /** What is known of one backend server. */
 export interface ServerFigures {
   readonly state: BackendServerState;
+  readonly requestsPerSecond: number;
+  readonly hotKeys: readonly KeyRate[];
+  readonly observedAtMs: number;
 }
 
 interface DaemonFigures {
@@ -20,12 +27,13 @@
 
 /** Gathers reports. */
 export class FleetView {
-  readonly #rates: RateBook;
   readonly #daemons = new Map<DaemonId, DaemonFigures>();
   readonly #releases = new Map<string, number>();
   readonly #servers = new Map<ServerId, ServerFigures>();
+  readonly #rates: ReadonlyMap<string, ServiceRates>;
 
-  constructor(rates: RateBook) {
+  /** `rates` gather what is observed of each service. */
+  constructor(rates: ReadonlyMap<string, ServiceRates>) {
     this.#rates = rates;
   }
 
@@ -52,8 +60,7 @@
     for (const release of report.releases) this.#release(release);
     for (const { observerId, observation } of report.observations) {
       if (!isHomeOf(observerId, observation.serverId)) continue;
-      this.#servers.set(observation.serverId, { state: observation.state });
-      this.#rates.add(observation);
+      this.#observe(observation, nowMs);
     }
   }
 
@@ -80,6 +87,7 @@
     for (const serverId of this.#servers.keys()) {
       if (!serverIds.has(serverId)) this.#servers.delete(serverId);
     }
+    for (const rates of this.#rates.values()) rates.retainServers(serverIds);
   }
 
   #release({ daemonId, service, version }: ReleaseReport): void {
@@ -87,4 +95,20 @@
     const known = this.#releases.get(subject) ?? 0;
     this.#releases.set(subject, Math.max(known, version));
   }
+
+  #observe(observation: ServerObservation, nowMs: number): void {
+    this.#rates.get(observation.service)?.record(observation);
+    const known = this.#servers.get(observation.serverId);
+    const elapsedMs = nowMs - (known?.observedAtMs ?? nowMs);
+    const before = known?.requestsPerSecond ?? 0;
+    const rate = elapsedMs > 0
+      ? observation.completedCount / elapsedMs * 1_000
+      : before;
+    this.#servers.set(observation.serverId, {
+      state: observation.state,
+      requestsPerSecond: before + (rate - before) * rateSmoothing,
+      hotKeys: observation.hotKeys,
+      observedAtMs: nowMs,
+    });
+  }
 }
--- a/src/services/ownership/report_relay.ts
+++ b/src/services/ownership/report_relay.ts
@@ -74,17 +74,20 @@
     ...later,
     completedCount: earlier.completedCount + later.completedCount,
     hotKeys: later.hotKeys.length > 0 ? later.hotKeys : earlier.hotKeys,
-    shardCounts: addCounts(earlier.shardCounts, later.shardCounts),
+    shardCounts: mergeShardCounts(earlier.shardCounts, later.shardCounts),
   };
 }
 
-function addCounts(
-  earlier: readonly ShardCount[],
-  later: readonly ShardCount[],
+function mergeShardCounts(
+  earlier: readonly ShardCount[] = [],
+  later: readonly ShardCount[] = [],
 ): readonly ShardCount[] {
   const counts = new Map<number, number>();
-  for (const { shard, count } of [...earlier, ...later]) {
-    counts.set(shard, (counts.get(shard) ?? 0) + count);
+  for (const { shard, completedCount } of [...earlier, ...later]) {
+    counts.set(shard, (counts.get(shard) ?? 0) + completedCount);
   }
-  return [...counts].map(([shard, count]) => ({ shard, count }));
+  return [...counts].map(([shard, completedCount]) => ({
+    shard,
+    completedCount,
+  }));
 }
--- a/src/services/ownership/shard_planner.ts
+++ b/src/services/ownership/shard_planner.ts
@@ -6,9 +6,11 @@
   type PendingRelease,
   ReleaseKind,
 } from "./assignment_codec.ts";
+import type { ServerFigures } from "./fleet_view.ts";
 import { computeShard, type HashFunction } from "./key_hash.ts";
 import type { Placement, PlacementInput, PlannedMove } from "./placement.ts";
-import type { ServiceRates } from "./rate_book.ts";
+import { computeMovesPerSecond } from "./placement_budget.ts";
+import type { ServiceRates } from "./placement_service_rates.ts";
 import type { MoveCause, RowDraft } from "./row_draft.ts";
 import { isUsable } from "./server_states.ts";
 
@@ -18,9 +20,9 @@
   readonly placement: Placement;
   readonly hash: HashFunction;
   readonly rates: ServiceRates;
-  /** Whether shards with a usable owner may move, and how many. */
+  readonly tryGetFigures: (serverId: ServerId) => ServerFigures | undefined;
+  /** Whether shards with a usable owner may move. */
   readonly mayRebalance: boolean;
-  readonly moveBudget: number;
 }
 
 /** Withdraws everything from servers that may no longer own shards. */
@@ -148,22 +150,27 @@
   const servers = [...draft.servers.values()]
     .filter((server) => isUsable(server.state))
     .sort((a, b) => a.serverId < b.serverId ? -1 : 1);
+  const budget = Math.floor(
+    computeMovesPerSecond(input.definition.shardCount),
+  );
+  const movingCount = listMoving(draft).size;
   return {
     definition: input.definition,
+    hash: input.hash,
     servers: servers.map(({ serverId, dataCentre }) => ({
       serverId,
       dataCentre,
       acceptsMoves: true,
     })),
     shardOwners: draft.owners,
-    shardRates: input.rates.shardRates,
+    shardRates: input.rates.shardRates(),
     overrides: new Map(
       [...draft.overrides]
         .filter(([, { serverId }]) => serverId !== noServerId)
         .map(([key, { serverId }]) => [key, serverId]),
     ),
-    hotKeys: input.rates.hotKeys,
-    moveBudget: input.moveBudget,
+    hotKeys: input.rates.hotKeys(),
+    moveBudget: input.mayRebalance ? Math.max(0, budget - movingCount) : 0,
   };
 }
 
--- a/src/services/ownership/sync_codec.ts
+++ b/src/services/ownership/sync_codec.ts
@@ -3,9 +3,9 @@
 import { create } from "@bufbuild/protobuf";
 import {
   type Announcement as AnnouncementMessage,
+  type Daemon,
+  DaemonSchema,
   type Observation,
-  type PeerDaemon,
-  PeerDaemonSchema,
   type SyncRequest,
   SyncRequestSchema,
   type SyncResponse,
@@ -32,12 +32,12 @@
 const serverStates: readonly string[] = Object.values(BackendServerState);
 
 /** Encodes a daemon. */
-export function encodeDaemon(daemon: DaemonInfo): PeerDaemon {
-  return create(PeerDaemonSchema, { ...daemon });
+export function encodeDaemon(daemon: DaemonInfo): Daemon {
+  return create(DaemonSchema, { ...daemon });
 }
 
 /** Decodes a daemon. */
-export function decodeDaemon(message: PeerDaemon | undefined): DaemonInfo {
+export function decodeDaemon(message: Daemon | undefined): DaemonInfo {
   const { daemonId = "", address = "", dataCentre = "", isDraining = false } =
     message ?? {};
   return { daemonId, address, dataCentre, isDraining };
@@ -66,8 +66,10 @@
       observerId,
       ...observation,
       hotKeys: observation.hotKeys.map((hotKey) => ({ ...hotKey })),
-      shards: observation.shardCounts.map(({ shard }) => shard),
-      shardCounts: observation.shardCounts.map(({ count }) => count),
+      shards: observation.shardCounts?.map(({ shard }) => shard) ?? [],
+      shardCompletedCounts: observation.shardCounts?.map((counted) =>
+        counted.completedCount
+      ) ?? [],
     })),
     announcements: report.announcements.map(encodeAnnouncement),
   });
@@ -197,7 +199,7 @@
       })),
       shardCounts: message.shards.map((shard, index) => ({
         shard,
-        count: message.shardCounts[index] ?? 0,
+        completedCount: message.shardCompletedCounts[index] ?? 0,
       })),
     },
   };
--- a/src/types/types.ts
+++ b/src/types/types.ts
@@ -139,8 +139,6 @@
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: AsyncIterable<Uint8Array>;
-  /** Time spent in the home's queue; part of the request's wait. */
-  readonly queuedMs?: number;
 }
 
 /** One allowance: `count` requests in each window of `windowMs`. */
