--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -9,7 +9,9 @@
 import { SystemRandomSource } from "../host/random_source.ts";
 import { SystemClock } from "../host/system_clock.ts";
 import { Kernel } from "../kernel/kernel.ts";
-import { OpenAdmission } from "../services/admission/open_admission.ts";
+import type { AllowanceSharing } from "../services/admission/allowance_sharing.ts";
+import { DemandLeases } from "../services/admission/home_sharing.ts";
+import { SharedAdmission } from "../services/admission/shared_admission.ts";
 import { RetryingDelivery } from "../services/delivery/retrying_delivery.ts";
 import { HttpEntry } from "../services/entry/http_entry.ts";
 import { SlotHome } from "../services/home/slot_home.ts";
@@ -96,7 +98,7 @@
     | "leaseDurationMs"
     | "ownershipIntervalMs"
   > {
-  /** Decides who owns what; minimum move when omitted. */
+  /** Decides who owns which shard; minimum move when omitted. */
   readonly placement?: Placement;
 }
 
@@ -107,6 +109,7 @@
 export function registerDecisions(
   kernel: Kernel,
   settings: DecisionSettings,
+  sharing: AllowanceSharing = new DemandLeases(),
 ): void {
   kernel
     .register(
@@ -129,7 +132,7 @@
     .register(new SlotHome())
     .register(new RetryingDelivery())
     .register(new StoredLists())
-    .register(new OpenAdmission())
+    .register(new SharedAdmission(sharing))
     .register(new AdmittingPipeline());
 }
 
