--- a/bench/run_benches.ts
+++ b/bench/run_benches.ts
@@ -6,13 +6,14 @@
 import meow from "meow";
 import { type Bench, formatFigure, isWithinBound } from "./bench.ts";
 import { PlacementBench } from "./placement.ts";
+import { RecoveryBench } from "./recovery.ts";
 import { ThroughputBench } from "./throughput.ts";
 
 const exitFailure = 1;
 const exitUsage = 2;
 
 function listBenches(): readonly Bench[] {
-  return [new PlacementBench(), new ThroughputBench()];
+  return [new PlacementBench(), new ThroughputBench(), new RecoveryBench()];
 }
 
 const cli = meow(
