--- a/src/cli/fleet_status.ts
+++ b/src/cli/fleet_status.ts
@@ -80,7 +80,7 @@
     state: value?.state ?? unreachableState,
     blockers: value?.blockers ?? [],
     listsVersion,
-    isListsLagging: listsVersion < newestListsVersion,
+    isListsLagging: value !== undefined && listsVersion < newestListsVersion,
     inFlightCount: value?.inFlightCount ?? 0,
     homedServerCount: value?.homedServers.length ?? 0,
   };
@@ -123,7 +123,7 @@
   const coordinatorText = coordinator === undefined
     ? "not known"
     : `${coordinator.daemonId}, epoch ${coordinator.epoch}, ` +
-      `lease ${coordinator.leaseRemainingMs} ms`;
+      `permit ${coordinator.permitRemainingMs} ms`;
   return [
     `coordinator  ${coordinatorText}`,
     `lists        version ${status.listsVersion}`,
--- a/src/cli/tool_error.ts
+++ b/src/cli/tool_error.ts
@@ -4,14 +4,23 @@
 import { RouterError } from "../types/errors.ts";
 import { ToolExitCode } from "./exit_code.ts";
 
+const messageCodePattern = /^SR\d{4} /;
+
 /** A failure with the exit code it leads to. */
 export class ToolError extends Error {
   readonly exitCode: ToolExitCode;
+  /** The daemon was reached, but did not answer in time. */
+  readonly isTimeout: boolean;
 
-  constructor(exitCode: ToolExitCode, message: string) {
+  constructor(
+    exitCode: ToolExitCode,
+    message: string,
+    options: { readonly isTimeout?: boolean } = {},
+  ) {
     super(message);
     this.name = "ToolError";
     this.exitCode = exitCode;
+    this.isTimeout = options.isTimeout ?? false;
   }
 }
 
@@ -19,24 +28,34 @@
 export function toToolError(error: unknown, peer: string): ToolError {
   if (error instanceof ToolError) return error;
   const failure = ConnectError.from(error);
+  if (isAnswerOfDaemon(failure) && failure.code === Code.Unavailable) {
+    const { rawMessage } = failure;
+    return new ToolError(ToolExitCode.PlatformUnavailable, rawMessage);
+  }
   const exitCode = exitCodeOf(failure.code);
   if (exitCode === ToolExitCode.Unauthorized) {
-    return createError(exitCode, MessageCode.PeerUnauthorized, { peer });
+    const { message } = new RouterError(
+      MessageCode.PeerUnauthorized,
+      "ask daemon",
+      { peer },
+    );
+    return new ToolError(exitCode, message);
   }
   if (exitCode === ToolExitCode.Unreachable) {
-    const detail = failure.rawMessage;
-    return createError(exitCode, MessageCode.PeerUnreachable, { peer, detail });
+    const { message } = new RouterError(
+      MessageCode.PeerUnreachable,
+      "ask daemon",
+      { peer, detail: failure.rawMessage },
+    );
+    const isTimeout = failure.code === Code.DeadlineExceeded;
+    return new ToolError(exitCode, message, { isTimeout });
   }
   return new ToolError(exitCode, failure.rawMessage);
 }
 
-function createError(
-  exitCode: ToolExitCode,
-  code: MessageCode,
-  facts: { readonly peer: string; readonly detail?: string },
-): ToolError {
-  const { message } = new RouterError(code, "ask daemon", facts);
-  return new ToolError(exitCode, message);
+/** Whether a daemon refused, rather than that none was reached. */
+function isAnswerOfDaemon({ rawMessage }: ConnectError): boolean {
+  return messageCodePattern.test(rawMessage);
 }
 
 function exitCodeOf(code: Code): ToolExitCode {
--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -9,7 +9,9 @@
 import { SystemRandomSource } from "../host/random_source.ts";
 import { SystemClock } from "../host/system_clock.ts";
 import { Kernel } from "../kernel/kernel.ts";
-import { OpenAdmission } from "../services/admission/open_admission.ts";
+import type { AllowanceSharing } from "../services/admission/allowance_sharing.ts";
+import { DemandLeases } from "../services/admission/home_sharing.ts";
+import { SharedAdmission } from "../services/admission/shared_admission.ts";
 import { RetryingDelivery } from "../services/delivery/retrying_delivery.ts";
 import { HttpEntry } from "../services/entry/http_entry.ts";
 import { SlotHome } from "../services/home/slot_home.ts";
@@ -20,6 +22,7 @@
 import { StatsdMetrics } from "../services/metrics/statsd_metrics.ts";
 import { ConnectOperator } from "../services/operator/connect_operator.ts";
 import { CoordinatedOwnership } from "../services/ownership/coordinated_ownership.ts";
+import type { Placement } from "../services/ownership/placement.ts";
 import { MinimumMovePlacement } from "../services/ownership/placement_minimum_move.ts";
 import { AdmittingPipeline } from "../services/pipeline/admitting_pipeline.ts";
 import { HttpPeerServer } from "../services/peers/http_peer_server.ts";
@@ -28,7 +31,7 @@
 
 const connectTimeoutMs = 500;
 const peerCallTimeoutMs = 1_000;
-const connectionsPerPeer = 16;
+const connectionsPerPeer = 64;
 
 /** Registers every service that a daemon runs. */
 export function createDaemon(settings: Settings): Kernel {
@@ -83,17 +86,21 @@
 }
 
 /** The settings that the deciding services need. */
-export type DecisionSettings = Pick<
-  Settings,
-  | "daemonId"
-  | "region"
-  | "dataCentre"
-  | "peerAddress"
-  | "services"
-  | "permitDurationMs"
-  | "leaseDurationMs"
-  | "ownershipIntervalMs"
->;
+export interface DecisionSettings extends
+  Pick<
+    Settings,
+    | "daemonId"
+    | "region"
+    | "dataCentre"
+    | "peerAddress"
+    | "services"
+    | "permitDurationMs"
+    | "leaseDurationMs"
+    | "ownershipIntervalMs"
+  > {
+  /** Decides who owns which shard; minimum move when omitted. */
+  readonly placement?: Placement;
+}
 
 /**
  * Registers the services that decide. They reach their environment only
@@ -102,6 +109,7 @@
 export function registerDecisions(
   kernel: Kernel,
   settings: DecisionSettings,
+  sharing: AllowanceSharing = new DemandLeases(),
 ): void {
   kernel
     .register(
@@ -115,7 +123,7 @@
       new CoordinatedOwnership({
         region: settings.region,
         definitions: settings.services,
-        placement: new MinimumMovePlacement(),
+        placement: settings.placement ?? new MinimumMovePlacement(),
         syncIntervalMs: settings.ownershipIntervalMs,
         permitDurationMs: settings.permitDurationMs,
         leaseDurationMs: settings.leaseDurationMs,
@@ -124,7 +132,7 @@
     .register(new SlotHome())
     .register(new RetryingDelivery())
     .register(new StoredLists())
-    .register(new OpenAdmission())
+    .register(new SharedAdmission(sharing))
     .register(new AdmittingPipeline());
 }
 
--- a/src/services/ownership/join_leave_test.ts
+++ b/src/services/ownership/join_leave_test.ts
@@ -2,6 +2,7 @@
 import { VmRole, VmState } from "../../types/enums.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import { describe, it } from "../../testing/describe.ts";
+import { StillPlacement } from "../../testing/still_placement.ts";
 import {
   findCoordinator,
   findHome,
@@ -27,6 +28,7 @@
     seed,
     daemonCount: options.daemonCount ?? 4,
     serverCount: options.serverCount ?? 4,
+    settings: { placement: new StillPlacement() },
   });
   await fleet.start();
   const traffic = new KeyTraffic(fleet);
@@ -61,8 +63,8 @@
     it("becomes a member and disturbs no key", async () => {
       const { fleet, traffic } = await startFleet(41);
       const before = getAssignment(fleet);
-      const fromMs = fleet.clock.nowMs();
       const joined = await fleet.addDaemon();
+      const fromMs = fleet.clock.nowMs();
       await traffic.run(3_000);
       assert.ok(traffic.longestGapMs(fromMs) <= quietGapMs);
       assert.equal(getAssignment(fleet).shardServers, before.shardServers);
--- a/src/services/ownership/ownership.ts
+++ b/src/services/ownership/ownership.ts
@@ -55,8 +55,8 @@
 export interface CoordinatorStatus {
   readonly daemonId: DaemonId;
   readonly epoch: number;
-  /** Time left of the coordinator's lease; 0 when it has lapsed. */
-  readonly leaseRemainingMs: number;
+  /** Time left of the asked daemon's permit under it; 0 when it has lapsed. */
+  readonly permitRemainingMs: number;
 }
 
 /** Tells whether a home still has work in flight for parts of an assignment. */
--- a/src/services/pipeline/admitting_pipeline.ts
+++ b/src/services/pipeline/admitting_pipeline.ts
@@ -1,7 +1,8 @@
 /**
  * Serves requests: one straight task for each, from admission to the last byte
  * of the answer. Refunds the allowance when nothing reached a backend server,
- * and records the wait, service and total time of each customer and class.
+ * and records the total time of each customer and class; the home of the key's
+ * owner records wait and service.
  */
 import { err, ok, type Result } from "neverthrow";
 import { MessageCode } from "../../diagnostics/messages.ts";
@@ -87,12 +88,9 @@
     const ticket = await services.get(ServiceName.Admission)
       .admit(request, scope.signal);
     if (ticket.isErr()) return err(ticket.error);
-    scope.markAdmitted();
     const { planRank, refund } = ticket.value;
     const result = await this.#deliver({ ...request, planRank }, scope);
-    if (result.isOk()) {
-      this.#recordFirstByte(result.value, { request, scope });
-    } else if (result.error.outcome === AttemptOutcome.NotSent) {
+    if (result.isErr() && result.error.outcome === AttemptOutcome.NotSent) {
       refund.call(ticket.value);
     }
     return result;
@@ -114,17 +112,6 @@
     }
   }
 
-  #recordFirstByte(
-    { queuedMs = 0 }: RoutedResponse,
-    { request, scope }: RunningRequest,
-  ): void {
-    const metrics = this.#services!.get(ServiceName.Metrics);
-    const { admissionMs, deliveryMs } = scope.elapsed();
-    const waitMs = admissionMs + queuedMs;
-    metrics.record(TimingName.Wait, waitMs, request);
-    metrics.record(TimingName.Service, deliveryMs - queuedMs, request);
-  }
-
   /** Passes the body on; accounts for the request when the body ends. */
   async *#meterBody(
     response: RoutedResponse,
@@ -140,8 +127,9 @@
       isComplete = true;
     } finally {
       scope.end();
-      const { totalMs } = scope.elapsed();
-      if (isComplete) metrics.record(TimingName.Total, totalMs, request);
+      if (isComplete) {
+        metrics.record(TimingName.Total, scope.elapsedMs(), request);
+      }
       metrics.count(
         isComplete ? CounterName.RequestsAnswered : CounterName.AnswersBroken,
       );
--- a/src/testing/test_fleet.ts
+++ b/src/testing/test_fleet.ts
@@ -10,6 +10,7 @@
 import { SeededRandomSource } from "../host/random_source.ts";
 import { Kernel } from "../kernel/kernel.ts";
 import { ServiceName } from "../kernel/service_name.ts";
+import type { AllowanceSharing } from "../services/admission/allowance_sharing.ts";
 import { Log } from "../services/log/log.ts";
 import { StatsdMetrics } from "../services/metrics/statsd_metrics.ts";
 import { FencingMode, RequestClass, VmRole, VmState } from "../types/enums.ts";
@@ -70,6 +71,8 @@
   readonly definition?: Partial<ServiceDefinition>;
   readonly serverBehaviour?: Partial<FakeServerBehaviour>;
   readonly settings?: Partial<DecisionSettings>;
+  /** How the daemons share allowances; the daemon's default when unset. */
+  readonly createSharing?: () => AllowanceSharing;
 }
 
 /** The name of the one service of a test fleet. */
@@ -77,6 +80,7 @@
 
 const dataCentres = ["dc-a", "dc-b", "dc-c"];
 const settleMs = 3_000;
+const realWaitTurns = 50;
 
 /** Daemons, backend servers and a platform in one process. */
 export class TestFleet {
@@ -87,6 +91,7 @@
   readonly daemons: TestDaemon[] = [];
   readonly definition: ServiceDefinition;
   readonly #options: TestFleetOptions;
+  readonly #starting = new Set<TestDaemon>();
   #requestCount = 0;
   #daemonCount = 0;
 
@@ -151,6 +156,7 @@
     const starting = this.startDaemon();
     let isStarted = false;
     starting.then(() => isStarted = true, () => isStarted = true);
+    await waitInRealTime(() => isStarted);
     while (!isStarted) await this.clock.advance(1);
     return await starting;
   }
@@ -161,7 +167,7 @@
     const daemonId = `daemon-${String(index).padStart(3, "0")}`;
     const dataCentre = dataCentres[index % dataCentres.length]!;
     const daemon = this.#createDaemon(daemonId, { index, dataCentre });
-    this.daemons.push(daemon);
+    this.#starting.add(daemon);
     this.putVm({
       vmId: daemonId,
       role: VmRole.Daemon,
@@ -170,7 +176,9 @@
       dataCentre,
     });
     await daemon.kernel.start();
+    this.#starting.delete(daemon);
     this.network.attach(daemon.address, daemon.kernel);
+    this.daemons.push(daemon);
     return daemon;
   }
 
@@ -188,7 +196,7 @@
 
   /** Shows the present list of VMs to every daemon. */
   publishVms(): void {
-    for (const daemon of this.daemons) {
+    for (const daemon of [...this.daemons, ...this.#starting]) {
       daemon.directory.publish(this.platform.state.vms());
     }
   }
@@ -268,11 +276,21 @@
       leaseDurationMs: 1_000,
       ownershipIntervalMs: 300,
       ...this.#options.settings,
-    });
+    }, this.#options.createSharing?.());
     return { daemonId, address, clock, kernel, log, directory };
   }
 }
 
+/**
+ * Waits a little for work that needs no virtual time, such as compiling the
+ * hash, so that virtual time does not depend on how fast the machine is.
+ */
+async function waitInRealTime(isDone: () => boolean): Promise<void> {
+  for (let turn = 0; turn < realWaitTurns && !isDone(); turn++) {
+    await new Promise<void>((resolve) => setTimeout(resolve, 1));
+  }
+}
+
 /** Advances the clock until the promise settles, at most `limitMs`. */
 export async function settleWithin<T>(
   clock: VirtualClock,
