--- a/bench/throughput.ts
+++ b/bench/throughput.ts
@@ -32,6 +32,21 @@
 - { name: ${service}, requestClass: live-read, shardCount: 64, fencingMode: unchecked, slotsPerServer: ${slotCount}, connectionsPerServer: 110, churnWeight: 1 }
 `;
 
+/** An allowance that no measurement reaches. */
+const lists = {
+  plansText: `customers:\n  ${customer}: unlimited\n`,
+  allowancesText: [
+    "plans:",
+    "  unlimited:",
+    "    rank: 1",
+    "    allowances:",
+    "      live-read:",
+    "        burst: { requestCount: 1000000, windowMs: 1000 }",
+    "        sustained: { requestCount: 10000000, windowMs: 10000 }",
+    "",
+  ].join("\n"),
+};
+
 /** A process under measurement. */
 interface Subject {
   readonly name: string;
@@ -57,6 +72,7 @@
     const fleet = new DemoFleet({
       daemonCount: 1,
       serverCountByService: { [service]: backendCount },
+      lists,
       daemonEnvironment: { SKYLARKRIDGE_SERVICES: services },
       serverEnvironment: {
         STANDIN_SLOTS: String(slotCount),
--- a/scripts/apply_example_lists.ts
+++ b/scripts/apply_example_lists.ts
@@ -3,15 +3,22 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { createClient } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
+import type { ListTexts } from "../src/services/lists/lists.ts";
 import { ListsService } from "../src/gen/skylarkridge/v1/lists_pb.ts";
 
 const attemptLimit = 100;
 const attemptIntervalMs = 100;
 
-/** Applies the example lists through one daemon; retries while it starts. */
+/**
+ * Applies the given lists, or those of `examples/`, through one daemon;
+ * retries while it starts.
+ */
 export async function applyExampleLists(
   peerAddress: string,
-  options: { readonly peerSecret: string },
+  options: {
+    readonly peerSecret: string;
+    readonly texts?: ListTexts | undefined;
+  },
 ): Promise<void> {
   const transport = createConnectTransport({
     baseUrl: `http://${peerAddress}`,
@@ -22,7 +29,7 @@
     }],
   });
   const client = createClient(ListsService, transport);
-  const texts = {
+  const texts = options.texts ?? {
     plansText: await readFile("examples/plans.yaml", "utf8"),
     allowancesText: await readFile("examples/allowances.yaml", "utf8"),
   };
--- a/scripts/demo_fleet.ts
+++ b/scripts/demo_fleet.ts
@@ -6,6 +6,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
 import { VmRole, VmState } from "../src/types/enums.ts";
+import type { ListTexts } from "../src/services/lists/lists.ts";
 import type { VmRecord } from "../src/types/types.ts";
 import { applyExampleLists } from "./apply_example_lists.ts";
 import {
@@ -32,6 +33,8 @@
   readonly daemonCount: number;
   readonly serverCountByService: Readonly<Record<string, number>>;
   readonly vmListLagMs?: number;
+  /** The lists to begin with; those of `examples/` when undefined. */
+  readonly lists?: ListTexts;
   readonly daemonEnvironment?: Readonly<Record<string, string>>;
   readonly serverEnvironment?: Readonly<Record<string, string>>;
   readonly onDaemonLog?: (daemonId: string, text: string) => void;
@@ -85,6 +88,7 @@
     }
     await applyExampleLists(this.daemons[0]!.peerAddress, {
       peerSecret: demoPeerSecret,
+      texts: this.#shape.lists,
     });
     await Promise.all(
       this.daemons.map((daemon) =>
