--- a/src/services/lists/stored_lists.ts
+++ b/src/services/lists/stored_lists.ts
@@ -1,9 +1,8 @@
 /**
- * Keeps the lists in force. Each daemon polls one row of the platform's
- * table, at an interval that grows with the fleet so that the reads of all
- * daemons stay bounded; an announcement makes it read at once. While the
- * platform is down, a daemon without lists takes a peer's copy. Only a higher
- * version ever replaces the one in force.
+ * Keeps the lists in force, which one row of the platform's table names. An
+ * announcement makes a daemon read it at once, and `RefreshSchedule` decides
+ * on further reads. While the platform is down, a daemon without lists takes a
+ * peer's copy. Only a higher version ever replaces the one in force.
  */
 import { err, ok, type Result } from "neverthrow";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
@@ -27,14 +26,7 @@
   tryDecodeTexts,
 } from "./lists_codec.ts";
 import { parseLists } from "./parse_lists.ts";
-
-const minPollIntervalMs = 2_000;
-/** Reads that the polls of all daemons together may cost. */
-const maxFleetReadsPerSecond = 100;
-const pollJitterFraction = 0.2;
-const retryIntervalMs = 500;
-/** Spreads the reads that follow an announcement over the fleet. */
-const announcedReadSpreadMsPerDaemon = 3;
+import { RefreshSchedule } from "./refresh_schedule.ts";
 
 /** Lists with the revision and the texts they came from. */
 export interface HeldLists {
@@ -42,15 +34,6 @@
   readonly texts: ListTexts;
 }
 
-/** The interval between polls of one daemon, before jitter. */
-export function computePollIntervalMs(daemonCount: number): number {
-  const millisecondsPerSecond = 1_000;
-  return Math.max(
-    minPollIntervalMs,
-    daemonCount * millisecondsPerSecond / maxFleetReadsPerSecond,
-  );
-}
-
 /** Lists kept in the platform's table and object store. */
 export class StoredLists extends Lists {
   readonly #changes = new EventSource<AcceptedLists>();
@@ -153,55 +136,60 @@
 
   async #refreshUntilStopped(services: ServiceLookup): Promise<void> {
     const clock = services.get(ServiceName.Clock);
+    const schedule = new RefreshSchedule(services);
     const { signal } = this.#stopping;
     while (!signal.aborted) {
-      await this.#tryRefresh(services);
-      await this.#wakeup.sleep(clock, this.#nextDelayMs(services), signal);
-      if (this.#announcedVersion <= this.#heldVersion()) continue;
-      await clock.sleep(this.#announcedDelayMs(services), signal);
+      if (this.#isBehind() || schedule.isReadDue()) {
+        schedule.noteRead(await this.#tryRefresh(services));
+      }
+      await this.#wakeup.sleep(clock, schedule.nextDelayMs(), signal);
+      if (!this.#isBehind()) continue;
+      await clock.sleep(schedule.announcedDelayMs(), signal);
     }
   }
 
-  #nextDelayMs(services: ServiceLookup): number {
-    if (this.#held === undefined) return retryIntervalMs;
-    const random = services.get(ServiceName.Random);
-    const daemonCount = services.get(ServiceName.Membership).daemons().length;
-    const jitter = (random.nextFraction() * 2 - 1) * pollJitterFraction;
-    return computePollIntervalMs(daemonCount) * (1 + jitter);
+  /** Whether a version above the one in force was announced. */
+  #isBehind(): boolean {
+    return this.#announcedVersion > this.#heldVersion();
   }
 
-  #announcedDelayMs(services: ServiceLookup): number {
-    const daemonCount = services.get(ServiceName.Membership).daemons().length;
-    return services.get(ServiceName.Random).nextFraction() * daemonCount *
-      announcedReadSpreadMsPerDaemon;
-  }
-
-  /** A row or answer that can't be read leaves the lists as they are. */
-  async #tryRefresh(services: ServiceLookup): Promise<void> {
+  /**
+   * Reads the row; true when the platform answered. A row that can't be read
+   * leaves the lists as they are.
+   */
+  async #tryRefresh(services: ServiceLookup): Promise<boolean> {
     try {
-      await this.#refresh(services);
+      return await this.#refresh(services);
     } catch {
       services.get(ServiceName.Metrics)
         .count(CounterName.PlatformErrors, "lists");
+      return false;
     }
   }
 
-  async #refresh(services: ServiceLookup): Promise<void> {
+  async #refresh(services: ServiceLookup): Promise<boolean> {
     const row = await services.get(ServiceName.PlatformTable)
       .read(listsRowKey);
-    if (row.isErr()) return await this.#refreshFromPeers(services);
-    if (row.value === undefined) return;
+    if (row.isErr()) {
+      await this.#refreshFromPeers(services);
+      return false;
+    }
+    if (row.value === undefined) return true;
     const { current } = decodeRecord(row.value.value);
     if (current.version < this.#heldVersion()) {
       services.get(ServiceName.Metrics).count(CounterName.ListsStaleIgnored);
-      return;
+      return true;
     }
     if (current.version > this.#heldVersion()) {
       const texts = await this.#tryReadTexts(services, current);
-      if (texts === undefined) return await this.#refreshFromPeers(services);
+      if (texts === undefined) {
+        await this.#refreshFromPeers(services);
+        return false;
+      }
       this.#putInForce({ revision: current, texts });
     }
     this.#isConfirmed = true;
+    return true;
   }
 
   async #tryReadTexts(
@@ -216,9 +204,7 @@
 
   /** Asks peers when this daemon has no lists, or knows of newer ones. */
   async #refreshFromPeers(services: ServiceLookup): Promise<void> {
-    const isBehind = this.#held === undefined ||
-      this.#announcedVersion > this.#heldVersion();
-    if (!isBehind) return;
+    if (this.#held !== undefined && !this.#isBehind()) return;
     const newest = await fetchNewestLists(services);
     if (newest === undefined) return;
     services.get(ServiceName.Metrics).count(CounterName.ListsFetchedFromPeer);
