--- a/src/testing/allowance_load.ts
+++ b/src/testing/allowance_load.ts
@@ -12,6 +12,8 @@
   readonly durationMs: number;
   readonly ratePerSecond: number;
   readonly customer?: string;
+  /** Picks the customer of each request, in place of `customer`. */
+  readonly chooseCustomer?: () => string;
   /** Picks the daemon of a request; the fraction is in [0, 1). */
   readonly chooseDaemon: (fraction: number) => TestDaemon | undefined;
 }
@@ -44,7 +46,9 @@
     }
   }
 
-  #send({ chooseDaemon, customer = "customer" }: LoadShape): void {
+  #send(shape: LoadShape): void {
+    const { chooseDaemon, chooseCustomer } = shape;
+    const customer = chooseCustomer?.() ?? shape.customer ?? "customer";
     const daemon = chooseDaemon(this.#random.nextFraction());
     if (daemon === undefined) return;
     const { signal } = new AbortController();
