--- a/bench/run_benches.ts
+++ b/bench/run_benches.ts
@@ -7,12 +7,17 @@
 import { type Bench, formatFigure, isWithinBound } from "./bench.ts";
 import { AllowanceErrorBench } from "./allowance_error.ts";
 import { PlacementBench } from "./placement.ts";
+import { ThroughputBench } from "./throughput.ts";
 
 const exitFailure = 1;
 const exitUsage = 2;
 
 function listBenches(): readonly Bench[] {
-  return [new AllowanceErrorBench(), new PlacementBench()];
+  return [
+    new AllowanceErrorBench(),
+    new PlacementBench(),
+    new ThroughputBench(),
+  ];
 }
 
 const cli = meow(
