--- a/src/services/admission/allowance_ledger.ts
+++ b/src/services/admission/allowance_ledger.ts
@@ -12,6 +12,7 @@
   LedgerCopy,
   MemberCopy,
 } from "./allowance_messages.ts";
+import { countNewUses, isNewer } from "./member_state.ts";
 import { Pacer } from "./pacer.ts";
 import { SlidingWindow } from "./sliding_window.ts";
 import { WindowSet } from "./window_set.ts";
@@ -112,8 +113,14 @@
     const { nowMs, leaseDurationMs } = terms;
     this.lastActiveAtMs = nowMs;
     this.#windows.configure(terms.limits, nowMs);
-    const copyAheadCount = this.#countAhead(copy.members);
-    const ownAheadCount = this.#countBehind(copy.members);
+    const copyAheadCount = sumOf(
+      copy.members,
+      (copied) => countNewUses(copied, this.#members.get(copied.daemonId)),
+    );
+    const ownAheadCount = sumOf(copy.members, (copied) => {
+      const known = this.#members.get(copied.daemonId);
+      return known === undefined ? 0 : countNewUses(known, copied);
+    });
     const isAdopting = copy.windows !== undefined &&
       copyAheadCount >= ownAheadCount;
     if (isAdopting) {
@@ -215,28 +222,6 @@
     return sum;
   }
 
-  /** Uses that the copy knows of and this ledger does not. */
-  #countAhead(members: readonly MemberCopy[]): number {
-    let sum = 0;
-    for (const copied of members) {
-      const known = this.#members.get(copied.daemonId);
-      if (known !== undefined && !isNewer(copied, known)) continue;
-      sum += copied.usedTotal - findStartTotal(copied, known);
-    }
-    return Math.max(0, sum);
-  }
-
-  /** Uses that this ledger knows of and the copy does not. */
-  #countBehind(members: readonly MemberCopy[]): number {
-    let sum = 0;
-    for (const copied of members) {
-      const known = this.#members.get(copied.daemonId);
-      if (known === undefined || !isNewer(known, copied)) continue;
-      sum += known.usedTotal - findStartTotal(known, copied);
-    }
-    return Math.max(0, sum);
-  }
-
   #adoptWindows(copy: LedgerCopy, { limits, nowMs }: LedgerTerms): void {
     for (const { kind, windowMs } of limits) {
       const copied = copy.windows?.find((window) => window.kind === kind);
@@ -258,22 +243,9 @@
   );
 }
 
-type MemberState = Pick<
-  MemberCopy,
-  "openedAtMs" | "sequence" | "usedTotal" | "baseTotal"
->;
-
-function isNewer(one: MemberState, other: MemberState): boolean {
-  return one.openedAtMs > other.openedAtMs ||
-    (one.openedAtMs === other.openedAtMs && one.sequence > other.sequence);
-}
-
-/** The total from which the newer state's uses are not yet known. */
-function findStartTotal(
-  newer: MemberState,
-  older: MemberState | undefined,
+function sumOf(
+  members: readonly MemberCopy[],
+  count: (member: MemberCopy) => number,
 ): number {
-  return older?.openedAtMs === newer.openedAtMs
-    ? older.usedTotal
-    : newer.baseTotal;
+  return members.reduce((sum, member) => sum + count(member), 0);
 }
--- a/src/services/admission/allowance_sharing.ts
+++ b/src/services/admission/allowance_sharing.ts
@@ -4,7 +4,8 @@
  */
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import type { AccountLimits } from "./account.ts";
-import type { EntryAccount, LimitRefusal } from "./entry_account.ts";
+import type { EntryAccount } from "./entry_account.ts";
+import type { LimitRefusal } from "./limit_refusal.ts";
 
 /** Charges requests against fleet-wide allowances. */
 export abstract class AllowanceSharing {
--- a/src/services/admission/entry_account.ts
+++ b/src/services/admission/entry_account.ts
@@ -10,29 +10,21 @@
   AccountReport,
   UseSlot,
 } from "./allowance_messages.ts";
+import {
+  type CachedRefusal,
+  createRefusal,
+  type LimitRefusal,
+} from "./limit_refusal.ts";
 import { WindowSet } from "./window_set.ts";
 
 const slotDurationMs = 10;
 const rateTimeConstantMs = 200;
-const maxRefusalDurationMs = 100;
-const minRefusalDurationMs = 2;
-
-/** Why a request was not admitted. */
-export interface LimitRefusal {
-  readonly windowKind: WindowKind;
-  readonly retryAfterMs: number;
-}
 
 interface PendingSlot {
   readonly startedAtMs: number;
   count: number;
 }
 
-interface CachedRefusal extends LimitRefusal {
-  readonly decidedAtMs: number;
-  readonly endsAtMs: number;
-}
-
 /** Facts that go into a report. */
 export interface ReportTerms {
   readonly daemonId: DaemonId;
@@ -246,20 +238,3 @@
 ): number {
   return Math.floor(window.count / Math.max(1, daemonCount));
 }
-
-function createRefusal(
-  { retryAfterMs, windowKind }: AccountGrant,
-  nowMs: number,
-): CachedRefusal | undefined {
-  if (windowKind === undefined) return undefined;
-  const durationMs = Math.min(
-    Math.max(retryAfterMs, minRefusalDurationMs),
-    maxRefusalDurationMs,
-  );
-  return {
-    windowKind,
-    retryAfterMs,
-    decidedAtMs: nowMs,
-    endsAtMs: nowMs + durationMs,
-  };
-}
--- a/src/services/admission/equal_shares.ts
+++ b/src/services/admission/equal_shares.ts
@@ -4,7 +4,8 @@
 import type { AccountLimits } from "./account.ts";
 import { AccountTable } from "./account_table.ts";
 import { AllowanceSharing } from "./allowance_sharing.ts";
-import type { EntryAccount, LimitRefusal } from "./entry_account.ts";
+import type { EntryAccount } from "./entry_account.ts";
+import type { LimitRefusal } from "./limit_refusal.ts";
 import { HomeRanking } from "./home_ranking.ts";
 
 /** Divides by the number of daemons. */
--- a/src/services/admission/home_sharing.ts
+++ b/src/services/admission/home_sharing.ts
@@ -13,7 +13,8 @@
   ConnectAllowancePeers,
   registerAllowanceService,
 } from "./connect_allowance.ts";
-import type { EntryAccount, LimitRefusal } from "./entry_account.ts";
+import type { EntryAccount } from "./entry_account.ts";
+import type { LimitRefusal } from "./limit_refusal.ts";
 import { HomeLink, type HomeLinkParts } from "./home_link.ts";
 import { HomeRanking } from "./home_ranking.ts";
 import { LedgerKeeper, type LedgerTimes } from "./ledger_keeper.ts";
--- a/src/services/admission/shared_admission.ts
+++ b/src/services/admission/shared_admission.ts
@@ -22,7 +22,8 @@
   type LimitStatus,
 } from "./admission.ts";
 import type { AllowanceSharing } from "./allowance_sharing.ts";
-import { computeShare, type LimitRefusal } from "./entry_account.ts";
+import { computeShare } from "./entry_account.ts";
+import type { LimitRefusal } from "./limit_refusal.ts";
 
 const step = "admit request";
 
