Count an accepting daemon's lists as confirmed

Cause: the daemon that accepted a change showed it as possibly stale until its next read; the tool's recorded output found it. The loopback fake named a coordinator but spread no announcements, so the other daemon lagged in it. Change: an accepted commit confirms the lists; the fake spreads announcements, as daemons that sync with one coordinator do. No test was changed but for one added assertion.

--- a/src/services/lists/stored_lists.ts
+++ b/src/services/lists/stored_lists.ts
@@ -120,6 +120,7 @@
     metrics.count(CounterName.ListsAccepted);
     const revision = applied.value.current;
     this.#putInForce({ revision, texts });
+    this.#isConfirmed = true;
     const contents = parseLists(texts).contents!;
     return ok({ version: revision.version, ...contents });
   }
--- a/src/services/lists/stored_lists_test.ts
+++ b/src/services/lists/stored_lists_test.ts
@@ -47,6 +47,7 @@
       const first = fleet.daemons[0]!;
       const texts = createListTexts();
       assert.ok((await apply(fleet, first, { texts, baseVersion: 0 })).isOk());
+      assert.is(listsOf(first).freshness(), ListsFreshness.Confirmed);
       await fleet.clock.advance(inForceTargetMs);
       assert.equal(versionsInForce(fleet), Array(12).fill(1));
       await fleet.stop();
--- a/src/testing/loopback_fleet.ts
+++ b/src/testing/loopback_fleet.ts
@@ -3,6 +3,7 @@
  * list services on loopback ports, over scripted figures and an in-memory
  * platform. For tests of the operators' tool.
  */
+import type { Stream } from "most";
 import { err, ok, type Result } from "neverthrow";
 import { MessageCode } from "../diagnostics/messages.ts";
 import { SeededRandomSource } from "../host/random_source.ts";
@@ -69,14 +70,23 @@
 class ScriptedMembership extends Membership {
   readonly #selfId: string;
   readonly #fleet: readonly DaemonInfo[];
-  readonly #announcements = new EventSource<Announcement>();
-  override readonly announcements = this.#announcements.stream;
+  readonly #announcements: EventSource<Announcement>;
+  override readonly announcements: Stream<Announcement>;
   override readonly changes = new EventSource<readonly DaemonInfo[]>().stream;
 
-  constructor(selfId: string, fleet: readonly DaemonInfo[]) {
+  constructor(
+    selfId: string,
+    world: {
+      readonly fleet: readonly DaemonInfo[];
+      /** Shared by the fleet, as all daemons sync with one coordinator. */
+      readonly announcements: EventSource<Announcement>;
+    },
+  ) {
     super();
     this.#selfId = selfId;
-    this.#fleet = fleet;
+    this.#fleet = world.fleet;
+    this.#announcements = world.announcements;
+    this.announcements = world.announcements.stream;
   }
 
   override self(): DaemonInfo {
@@ -93,7 +103,9 @@
 
   override beginDraining(): void {}
 
-  override announce(): void {}
+  override announce(announcement: Announcement): void {
+    this.#announcements.publish(announcement);
+  }
 
   override knownAnnouncements(): readonly Announcement[] {
     return [];
@@ -283,6 +295,7 @@
       readonly clock: FreezableClock;
       readonly platform: FakePlatform;
       readonly fleet: readonly DaemonInfo[];
+      readonly announcements: EventSource<Announcement>;
     },
   ) {
     const caller = { daemonId, clock: world.clock };
@@ -309,7 +322,7 @@
           callTimeoutMs: 1_000,
         }),
       )
-      .register(new ScriptedMembership(daemonId, world.fleet))
+      .register(new ScriptedMembership(daemonId, world))
       .register(new ScriptedOwnership())
       .register(new ScriptedHome(world.index))
       .register(new ScriptedDelivery())
@@ -332,6 +345,7 @@
   readonly platform = new FakePlatform();
   readonly daemons: LoopbackDaemon[] = [];
   readonly #fleet: DaemonInfo[] = [];
+  readonly #announcements = new EventSource<Announcement>();
 
   /** Starts daemons that know each other. */
   async start(count: number): Promise<void> {
@@ -342,6 +356,7 @@
         clock: new FreezableClock(this.clock),
         platform: this.platform,
         fleet: this.#fleet,
+        announcements: this.#announcements,
       });
       this.daemons.push(daemon);
       this.#fleet.push({
