--- a/bench/run_benches.ts
+++ b/bench/run_benches.ts
@@ -5,6 +5,7 @@
  */
 import meow from "meow";
 import { type Bench, formatFigure, isWithinBound } from "./bench.ts";
+import { AllowanceErrorBench } from "./allowance_error.ts";
 import { PlacementBench } from "./placement.ts";
 import { RecoveryBench } from "./recovery.ts";
 import { ThroughputBench } from "./throughput.ts";
@@ -13,7 +14,12 @@
 const exitUsage = 2;
 
 function listBenches(): readonly Bench[] {
-  return [new PlacementBench(), new ThroughputBench(), new RecoveryBench()];
+  return [
+    new AllowanceErrorBench(),
+    new PlacementBench(),
+    new ThroughputBench(),
+    new RecoveryBench(),
+  ];
 }
 
 const cli = meow(
