Share one wake-up class and the pieces that two services use

Cause: three classes let a task sleep until another wakes it, and admission and the command line imported files of ownership and lists. Change: `ChangeSignal` moves to src/streams and gains `sleep`, which keeps a notification that comes between two sleeps; `Wakeup` and `WakeSignal` are gone. The hash moves to src/hashing, `ListName` to src/types/enums.ts. Ruled out: behaviour changes; no test was touched but for import paths.

--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -6,7 +6,7 @@
 import {
   createHashFunction,
   type HashFunction,
-} from "../src/services/ownership/key_hash.ts";
+} from "../src/hashing/key_hash.ts";
 import type { Placement } from "../src/services/ownership/placement.ts";
 import { BoundedLoadPlacement } from "../src/services/ownership/placement_bounded_load.ts";
 import { MinimumMovePlacement } from "../src/services/ownership/placement_minimum_move.ts";
--- a/bench/placement_model.ts
+++ b/bench/placement_model.ts
@@ -4,10 +4,7 @@
  * costs by a stated model of its duration. Measures imbalance, churn and
  * unavailable time of every service.
  */
-import {
-  computeShard,
-  type HashFunction,
-} from "../src/services/ownership/key_hash.ts";
+import { computeShard, type HashFunction } from "../src/hashing/key_hash.ts";
 import type {
   Placement,
   PlannedMove,
--- a/src/cli/commands/lists_show_command.ts
+++ b/src/cli/commands/lists_show_command.ts
@@ -3,7 +3,7 @@
   type GetListsResponse,
   ListsService,
 } from "../../gen/skylarkridge/v1/lists_pb.ts";
-import { ListName } from "../../services/lists/list_schema.ts";
+import { ListName } from "../../types/enums.ts";
 import { Command, type CommandContext, printResult } from "../command.ts";
 import { ToolExitCode } from "../exit_code.ts";
 import { formatWallTime } from "../table.ts";
--- a/src/services/admission/account.ts
+++ b/src/services/admission/account.ts
@@ -1,7 +1,7 @@
 /** An account: the use that one customer makes of one class. */
 import type { RequestClass } from "../../types/enums.ts";
 import type { AcceptedLists, AllowanceWindow } from "../../types/types.ts";
-import { ListName } from "../lists/list_schema.ts";
+import { ListName } from "../../types/enums.ts";
 
 /** Identifies an account. */
 export interface AccountKey {
--- a/src/services/admission/home_link.ts
+++ b/src/services/admission/home_link.ts
@@ -5,7 +5,7 @@
  */
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
-import { Wakeup } from "../../streams/wakeup.ts";
+import { ChangeSignal } from "../../streams/change_signal.ts";
 import type { DaemonInfo } from "../../types/types.ts";
 import type { AccountGrant, AccountReport } from "./allowance_messages.ts";
 import type { AllowancePeers } from "./allowance_peers.ts";
@@ -32,7 +32,7 @@
   readonly home: DaemonInfo;
   readonly #parts: HomeLinkParts;
   readonly #accounts = new Set<EntryAccount>();
-  readonly #wakeup = new Wakeup();
+  readonly #wakeup = new ChangeSignal();
   #isEnded = false;
 
   constructor(home: DaemonInfo, parts: HomeLinkParts) {
@@ -44,7 +44,7 @@
   request(account: EntryAccount): void {
     account.homeDaemonId = this.home.daemonId;
     this.#accounts.add(account);
-    this.#wakeup.wake();
+    this.#wakeup.notify();
   }
 
   /** Whether the task has ended; a new link must be opened. */
@@ -58,7 +58,10 @@
     const clock = services.get(ServiceName.Clock);
     let idleTurnCount = 0;
     while (!signal.aborted && idleTurnCount < maxIdleTurnCount) {
-      await this.#wakeup.sleep(clock, times.syncIntervalMs, signal);
+      await this.#wakeup.sleep(clock, {
+        durationMs: times.syncIntervalMs,
+        signal,
+      });
       const due = this.#takeDue();
       idleTurnCount = due.length === 0 ? idleTurnCount + 1 : 0;
       if (due.length > 0) await this.#exchange(due);
--- a/src/services/admission/home_ranking.ts
+++ b/src/services/admission/home_ranking.ts
@@ -9,7 +9,7 @@
 import {
   createHashFunction,
   type HashFunction,
-} from "../ownership/key_hash.ts";
+} from "../../hashing/key_hash.ts";
 
 /** Daemons that can stand in for a home, the home included. */
 export const rankedDaemonCount = 3;
--- a/src/services/admission/shared_admission.ts
+++ b/src/services/admission/shared_admission.ts
@@ -8,7 +8,7 @@
 import { ServiceName } from "../../kernel/service_name.ts";
 import { RouterError } from "../../types/errors.ts";
 import type { RoutedRequest } from "../../types/types.ts";
-import { ListName } from "../lists/list_schema.ts";
+import { ListName } from "../../types/enums.ts";
 import { CounterName } from "../metrics/metrics.ts";
 import {
   type AccountLimits,
--- a/src/services/home/homed_server.ts
+++ b/src/services/home/homed_server.ts
@@ -16,7 +16,7 @@
 import type { ServerGrants } from "./server_grants.ts";
 import { ShardCounter } from "./shard_counter.ts";
 import { ServerHealth } from "./server_health.ts";
-import { ChangeSignal } from "./change_signal.ts";
+import { ChangeSignal } from "../../streams/change_signal.ts";
 
 /** Requests that may wait for one server. */
 const queueCapacity = 512;
--- a/src/services/home/record_transfer.ts
+++ b/src/services/home/record_transfer.ts
@@ -21,7 +21,7 @@
 } from "./idempotency_records.ts";
 import { decodeRecord } from "./record_codec.ts";
 import type { StandbyRecorder } from "./standby_recorder.ts";
-import { ChangeSignal } from "./change_signal.ts";
+import { ChangeSignal } from "../../streams/change_signal.ts";
 
 const callTimeoutMs = 400;
 const retryIntervalMs = 200;
--- a/src/services/home/server_grants.ts
+++ b/src/services/home/server_grants.ts
@@ -13,7 +13,7 @@
   KeyLocation,
   ServiceAssignment,
 } from "../../types/types.ts";
-import { ChangeSignal } from "./change_signal.ts";
+import { ChangeSignal } from "../../streams/change_signal.ts";
 
 const grantDurationMs = 1_500;
 const grantTimeoutMs = 400;
--- a/src/services/home/standby_recorder.ts
+++ b/src/services/home/standby_recorder.ts
@@ -22,7 +22,7 @@
 import type { QueuedRequest } from "./queued_request.ts";
 import { createScope } from "./record_scope.ts";
 import { encodeRecord } from "./record_codec.ts";
-import { ChangeSignal } from "./change_signal.ts";
+import { ChangeSignal } from "../../streams/change_signal.ts";
 
 const callTimeoutMs = 400;
 const batchSize = 200;
--- a/src/services/lists/list_difference.ts
+++ b/src/services/lists/list_difference.ts
@@ -1,5 +1,5 @@
 /** A readable difference between two versions of the lists. */
-import { ListName } from "./list_schema.ts";
+import { ListName } from "../../types/enums.ts";
 import type { ListTexts } from "./lists.ts";
 
 const maxShownLineCount = 40;
--- a/src/services/lists/list_document.ts
+++ b/src/services/lists/list_document.ts
@@ -10,7 +10,8 @@
   visit,
 } from "yaml";
 import type { ListIssue, ListPath, ListPosition } from "./list_issue.ts";
-import { type ListName, maxListLength } from "./list_schema.ts";
+import type { ListName } from "../../types/enums.ts";
+import { maxListLength } from "./list_schema.ts";
 
 const maxAliasCount = 100;
 
--- a/src/services/lists/list_issue.ts
+++ b/src/services/lists/list_issue.ts
@@ -1,5 +1,5 @@
 /** One fault of a list, and its rendering for operators. */
-import type { ListName } from "./list_schema.ts";
+import type { ListName } from "../../types/enums.ts";
 
 /** A path of keys from the root of a list. */
 export type ListPath = readonly string[];
--- a/src/services/lists/list_schema.ts
+++ b/src/services/lists/list_schema.ts
@@ -3,13 +3,7 @@
  * `schemas/` are generated from them; `docs/LISTS.md` describes the format.
  */
 import { z } from "zod";
-import { RequestClass } from "../../types/enums.ts";
-
-/** The file names of the two lists. */
-export enum ListName {
-  Plans = "plans.yaml",
-  Allowances = "allowances.yaml",
-}
+import { ListName, RequestClass } from "../../types/enums.ts";
 
 /** Longest text of one list, in UTF-16 code units. */
 export const maxListLength = 2_000_000;
--- a/src/services/lists/parse_lists.ts
+++ b/src/services/lists/parse_lists.ts
@@ -3,7 +3,7 @@
  * Every fault is reported at once, so that one correction is enough.
  */
 import type { z } from "zod";
-import { RequestClass, WindowKind } from "../../types/enums.ts";
+import { ListName, RequestClass, WindowKind } from "../../types/enums.ts";
 import type {
   AcceptedLists,
   AllowanceWindow,
@@ -18,7 +18,6 @@
   type ClassAllowance,
   type FieldRule,
   fieldRules,
-  ListName,
   type PlansList,
   plansSchema,
 } from "./list_schema.ts";
--- a/src/services/lists/parse_lists_test.ts
+++ b/src/services/lists/parse_lists_test.ts
@@ -1,9 +1,9 @@
 import { readFileSync } from "node:fs";
 import * as assert from "uvu/assert";
 import { describe, it } from "../../testing/describe.ts";
-import { RequestClass, WindowKind } from "../../types/enums.ts";
+import { ListName, RequestClass, WindowKind } from "../../types/enums.ts";
 import { formatListIssue } from "./list_issue.ts";
-import { createJsonSchema, ListName } from "./list_schema.ts";
+import { createJsonSchema } from "./list_schema.ts";
 import { parseLists } from "./parse_lists.ts";
 
 function readRepositoryFile(path: string): string {
--- a/src/services/lists/stored_lists.ts
+++ b/src/services/lists/stored_lists.ts
@@ -9,7 +9,7 @@
 import { ServiceName } from "../../kernel/service_name.ts";
 import { EventSource } from "../../streams/event_source.ts";
 import { subscribe } from "../../streams/subscribe.ts";
-import { Wakeup } from "../../streams/wakeup.ts";
+import { ChangeSignal } from "../../streams/change_signal.ts";
 import { ListsFreshness } from "../../types/enums.ts";
 import type { RouterError } from "../../types/errors.ts";
 import type { AcceptedLists } from "../../types/types.ts";
@@ -38,7 +38,7 @@
 export class StoredLists extends Lists {
   readonly #changes = new EventSource<AcceptedLists>();
   readonly #stopping = new AbortController();
-  readonly #wakeup = new Wakeup();
+  readonly #wakeup = new ChangeSignal();
   #services: ServiceLookup | undefined;
   #held: (HeldLists & { readonly accepted: AcceptedLists }) | undefined;
   #isConfirmed = false;
@@ -70,7 +70,7 @@
         if (topic !== AnnouncementTopic.Lists) return;
         if (version <= this.#heldVersion()) return;
         this.#announcedVersion = Math.max(this.#announcedVersion, version);
-        this.#wakeup.wake();
+        this.#wakeup.notify();
       },
     );
     this.#refresher = this.#refreshUntilStopped(services);
@@ -143,7 +143,10 @@
       if (this.#isBehind() || schedule.isReadDue()) {
         schedule.noteRead(await this.#tryRefresh(services));
       }
-      await this.#wakeup.sleep(clock, schedule.nextDelayMs(), signal);
+      await this.#wakeup.sleep(clock, {
+        durationMs: schedule.nextDelayMs(),
+        signal,
+      });
       if (!this.#isBehind()) continue;
       await clock.sleep(schedule.announcedDelayMs(), signal);
     }
--- a/src/services/ownership/control_state.ts
+++ b/src/services/ownership/control_state.ts
@@ -17,13 +17,13 @@
 import { AssignmentBook } from "./assignment_book.ts";
 import type { ControlOptions } from "./control_options.ts";
 import type { Coordinator } from "./coordinator.ts";
-import type { HashFunction } from "./key_hash.ts";
+import type { HashFunction } from "../../hashing/key_hash.ts";
 import { MemberRecord } from "./member_record.ts";
 import { OwnPermit } from "./own_permit.ts";
 import type { InFlightSource } from "./ownership.ts";
 import { ReportRelay } from "./report_relay.ts";
 import type { CoordinatorView, ReleaseReport } from "./sync_messages.ts";
-import { WakeSignal } from "./wake_signal.ts";
+import { ChangeSignal } from "../../streams/change_signal.ts";
 
 /** Shared by the tasks of one daemon. */
 export class ControlState {
@@ -42,9 +42,9 @@
   readonly relay = new ReportRelay();
   readonly permit: OwnPermit;
   /** Woken when there is something to report at once. */
-  readonly urgent = new WakeSignal();
+  readonly urgent = new ChangeSignal();
   /** Woken when there is something to decide at once. */
-  readonly decisions = new WakeSignal();
+  readonly decisions = new ChangeSignal();
   /** Local instant of the last answer that extended the permit. */
   lastSyncAtMs = Number.NEGATIVE_INFINITY;
   /** Local instant before which this daemon leaves the lease to others. */
--- a/src/services/ownership/coordinated_ownership.ts
+++ b/src/services/ownership/coordinated_ownership.ts
@@ -21,7 +21,7 @@
 import { subscribe } from "../../streams/subscribe.ts";
 import { type ControlOptions, drainTimeoutMs } from "./control_options.ts";
 import { ControlState } from "./control_state.ts";
-import { computeShard, createHashFunction } from "./key_hash.ts";
+import { computeShard, createHashFunction } from "../../hashing/key_hash.ts";
 import { LeaseStore } from "./lease_store.ts";
 import { LeaseTask } from "./lease_task.ts";
 import {
@@ -94,7 +94,7 @@
     const state = this.#state;
     if (state === undefined) return;
     state.membership.beginDraining();
-    state.urgent.set();
+    state.urgent.notify();
     const endAtMs = state.clock.nowMs() + drainTimeoutMs;
     while (state.clock.nowMs() < endAtMs && !isDrained(state)) {
       await state.clock.sleep(drainCheckIntervalMs);
@@ -146,7 +146,7 @@
   }
 
   override requestRefresh(_service: string): void {
-    this.#state?.urgent.set();
+    this.#state?.urgent.notify();
   }
 
   override tryGetPermit(serverId: ServerId): HomePermit | undefined {
@@ -171,8 +171,8 @@
     const assigned = state.book.tryGetServer(observation.serverId);
     if (!isUrgentState(observation.state)) return;
     if (assigned?.state === observation.state) return;
-    state.urgent.set();
-    state.decisions.set();
+    state.urgent.notify();
+    state.decisions.notify();
   }
 
   override coordinator(): CoordinatorStatus | undefined {
--- a/src/services/ownership/coordinator.ts
+++ b/src/services/ownership/coordinator.ts
@@ -25,7 +25,7 @@
 import { FleetView } from "./fleet_view.ts";
 import { HomeChooser, type HomeLoads } from "./home_assignment.ts";
 import { planMoves } from "./move_planner.ts";
-import { computeShard } from "./key_hash.ts";
+import { computeShard } from "../../hashing/key_hash.ts";
 import { PermitLedger } from "./permit_ledger.ts";
 import { PlacementGate } from "./placement_gate.ts";
 import { ServiceRates } from "./placement_service_rates.ts";
--- a/src/services/ownership/home_assignment.ts
+++ b/src/services/ownership/home_assignment.ts
@@ -9,7 +9,7 @@
   DaemonId,
   DaemonInfo,
 } from "../../types/types.ts";
-import type { HashFunction } from "./key_hash.ts";
+import type { HashFunction } from "../../hashing/key_hash.ts";
 
 /** Counts the servers of each daemon, over all services. */
 export type HomeLoads = Map<DaemonId, number>;
--- a/src/services/ownership/home_assignment_test.ts
+++ b/src/services/ownership/home_assignment_test.ts
@@ -3,7 +3,7 @@
 import { BackendServerState, MoveReason } from "../../types/enums.ts";
 import type { AssignedServer, DaemonInfo } from "../../types/types.ts";
 import { HomeChooser } from "./home_assignment.ts";
-import { createHashFunction } from "./key_hash.ts";
+import { createHashFunction } from "../../hashing/key_hash.ts";
 
 const hash = await createHashFunction();
 const dataCentres = ["dc-a", "dc-b", "dc-c"];
--- a/src/services/ownership/lease_task.ts
+++ b/src/services/ownership/lease_task.ts
@@ -67,7 +67,7 @@
         "hold lease",
         () => this.#coordinateOnce(coordinator),
       );
-      await decisions.sleep(clock, decisionIntervalMs, signal);
+      await decisions.sleep(clock, { durationMs: decisionIntervalMs, signal });
       this.#excusePause(coordinator, startedAtMs);
     }
   }
--- a/src/services/ownership/placement.ts
+++ b/src/services/ownership/placement.ts
@@ -5,7 +5,7 @@
  */
 import type { MoveReason } from "../../types/enums.ts";
 import type { ServerId, ServiceDefinition } from "../../types/types.ts";
-import type { HashFunction } from "./key_hash.ts";
+import type { HashFunction } from "../../hashing/key_hash.ts";
 import type { KeyRate } from "./ownership.ts";
 
 /** A backend server that may own shards. */
--- a/src/services/ownership/placement_draft.ts
+++ b/src/services/ownership/placement_draft.ts
@@ -4,7 +4,7 @@
  */
 import { MoveReason } from "../../types/enums.ts";
 import type { ServerId } from "../../types/types.ts";
-import { computeShard } from "./key_hash.ts";
+import { computeShard } from "../../hashing/key_hash.ts";
 import type {
   PlacementInput,
   PlacementServer,
--- a/src/services/ownership/placement_rendezvous.ts
+++ b/src/services/ownership/placement_rendezvous.ts
@@ -4,7 +4,7 @@
  * server that joined or left.
  */
 import type { ServerId } from "../../types/types.ts";
-import type { HashFunction } from "./key_hash.ts";
+import type { HashFunction } from "../../hashing/key_hash.ts";
 import type { PlacementDraft } from "./placement_draft.ts";
 import { TargetPlacement } from "./placement_target.ts";
 
--- a/src/services/ownership/placement_test.ts
+++ b/src/services/ownership/placement_test.ts
@@ -3,7 +3,7 @@
 import { describe, it } from "../../testing/describe.ts";
 import { FencingMode, MoveReason, RequestClass } from "../../types/enums.ts";
 import type { ServerId, ServiceDefinition } from "../../types/types.ts";
-import { computeShard, createHashFunction } from "./key_hash.ts";
+import { computeShard, createHashFunction } from "../../hashing/key_hash.ts";
 import type { KeyRate } from "./ownership.ts";
 import type { Placement, PlacementInput, PlannedMove } from "./placement.ts";
 import { BoundedLoadPlacement } from "./placement_bounded_load.ts";
--- a/src/services/ownership/shard_planner.ts
+++ b/src/services/ownership/shard_planner.ts
@@ -7,7 +7,7 @@
   ReleaseKind,
 } from "./assignment_codec.ts";
 import type { ServerFigures } from "./fleet_view.ts";
-import { computeShard, type HashFunction } from "./key_hash.ts";
+import { computeShard, type HashFunction } from "../../hashing/key_hash.ts";
 import type { Placement, PlacementInput, PlannedMove } from "./placement.ts";
 import { computeMovesPerSecond } from "./placement_budget.ts";
 import type { ServiceRates } from "./placement_service_rates.ts";
--- a/src/services/ownership/sync_handler.ts
+++ b/src/services/ownership/sync_handler.ts
@@ -62,7 +62,7 @@
   const coordinator = state.tryGetCoordinator();
   if (coordinator !== undefined) {
     coordinator.receive(report, nowMs);
-    if (isUrgent(report)) state.decisions.set();
+    if (isUrgent(report)) state.decisions.notify();
     const permitRemainingMs = coordinator.givePermit(childId, nowMs);
     return { permitRemainingMs, tokenMs: nowMs };
   }
@@ -73,7 +73,7 @@
       ? report
       : { ...report, heard: withoutTokens(report) },
   );
-  if (isUrgent(report)) state.urgent.set();
+  if (isUrgent(report)) state.urgent.notify();
   return {
     permitRemainingMs: Math.max(0, state.permit.expiresAtMs() - nowMs),
     tokenMs: state.record.confirmedTokenMs(),
--- a/src/services/ownership/sync_handler_test.ts
+++ b/src/services/ownership/sync_handler_test.ts
@@ -18,7 +18,7 @@
 import { SyncedMembership } from "../membership/synced_membership.ts";
 import { StatsdMetrics } from "../metrics/statsd_metrics.ts";
 import { ControlState } from "./control_state.ts";
-import { createHashFunction } from "./key_hash.ts";
+import { createHashFunction } from "../../hashing/key_hash.ts";
 import { MinimumMovePlacement } from "./placement_minimum_move.ts";
 import { answerPromise, answerSync } from "./sync_handler.ts";
 import type { SyncReport } from "./sync_messages.ts";
--- a/src/services/ownership/sync_task.ts
+++ b/src/services/ownership/sync_task.ts
@@ -28,7 +28,10 @@
     if (state.tryGetCoordinator() === undefined) {
       await guardStep(state, "sync", () => syncOnce(state, store));
     }
-    await state.urgent.sleep(state.clock, computeIntervalMs(state), signal);
+    await state.urgent.sleep(state.clock, {
+      durationMs: computeIntervalMs(state),
+      signal,
+    });
   }
 }
 
@@ -73,7 +76,9 @@
     members: answer.members ?? state.record.view().members,
   });
   const accepted = answer.assignments.filter((row) => state.book.accept(row));
-  if (accepted.length > 0 && state.ownReleases().length > 0) state.urgent.set();
+  if (accepted.length > 0 && state.ownReleases().length > 0) {
+    state.urgent.notify();
+  }
   if (!state.record.isFollowed(answer.epoch)) return false;
   const nowMs = state.clock.nowMs();
   if (answer.tokenMs !== undefined) {
--- a/src/services/home/change_signal.ts
+++ b/src/streams/change_signal.ts
@@ -1,11 +1,12 @@
 /** Lets tasks wait until another task reports a change. */
-import type { Clock } from "../../host/clock.ts";
-import { DeadlineSignal } from "../../host/deadline_signal.ts";
+import type { Clock } from "../host/clock.ts";
+import { DeadlineSignal } from "../host/deadline_signal.ts";
 
 /** Wakes every task that waits. */
 export class ChangeSignal {
   #waiters = new Set<() => void>();
   #count = 0;
+  #sleptCount = 0;
 
   /** How often `notify` was called. */
   get count(): number {
@@ -55,4 +56,16 @@
     await this.wait(limit.signal);
     limit.dispose();
   }
+
+  /**
+   * Resolves after `durationMs`, less after a `notify` since the last sleep,
+   * or when `signal` aborts. For a signal that only one task sleeps on.
+   */
+  async sleep(
+    clock: Clock,
+    options: { readonly durationMs: number; readonly signal: AbortSignal },
+  ): Promise<void> {
+    await this.waitAtMost(clock, { ...options, seenCount: this.#sleptCount });
+    this.#sleptCount = this.#count;
+  }
 }
--- a/src/testing/allowance_scenario.ts
+++ b/src/testing/allowance_scenario.ts
@@ -5,7 +5,7 @@
  */
 import { ServiceName } from "../kernel/service_name.ts";
 import type { AllowanceSharing } from "../services/admission/allowance_sharing.ts";
-import { createHashFunction } from "../services/ownership/key_hash.ts";
+import { createHashFunction } from "../hashing/key_hash.ts";
 import { rankDaemons } from "../services/admission/home_ranking.ts";
 import { assertNever } from "../types/errors.ts";
 import type { DaemonId } from "../types/types.ts";
--- a/src/traces/ownership_monitor.ts
+++ b/src/traces/ownership_monitor.ts
@@ -4,10 +4,7 @@
  * unavailable time.
  */
 import { ServiceName } from "../kernel/service_name.ts";
-import {
-  computeShard,
-  type HashFunction,
-} from "../services/ownership/key_hash.ts";
+import { computeShard, type HashFunction } from "../hashing/key_hash.ts";
 import type { TestDaemon, TestFleet } from "../testing/test_fleet.ts";
 import type { ServerId, ServiceAssignment } from "../types/types.ts";
 import type { TraceHeader, TraceService } from "./trace_schema.ts";
--- a/src/traces/replay_trace.ts
+++ b/src/traces/replay_trace.ts
@@ -1,5 +1,5 @@
 /** Replays a trace from start to end and reports on it. */
-import { createHashFunction } from "../services/ownership/key_hash.ts";
+import { createHashFunction } from "../hashing/key_hash.ts";
 import { OwnershipMonitor } from "./ownership_monitor.ts";
 import { createReplayReport, type ReplayReport } from "./replay_report.ts";
 import { startTraceFleet } from "./trace_fleet.ts";
--- a/src/types/enums.ts
+++ b/src/types/enums.ts
@@ -92,3 +92,9 @@
   /** Read from the platform since the start. */
   Confirmed = "confirmed",
 }
+
+/** The file names of the two lists. */
+export enum ListName {
+  Plans = "plans.yaml",
+  Allowances = "allowances.yaml",
+}
