Load the key hash before daemons start in tests; split the coordinator

Cause: each service compiled xxHash while its daemon started, so the virtual time that a fleet's start took depended on the machine; `TestFleet` hid that by waiting in real time. Change: `KeyHasher` is a service that its users declare as a need; test fleets load the function once and register it ready-made, and the real-time wait is gone. Ruled out: a value kept at module level; several daemons share a process. Tests: `HomeRanking` has a plain constructor, so the ledger keeper's tests no longer await it; their assertions are unchanged. New: a fleet's start takes equal virtual time in three runs of one process.

--- a/src/daemon/create_daemon.ts
+++ b/src/daemon/create_daemon.ts
@@ -1,4 +1,5 @@
 /** Assembles the services of one daemon. Nothing here starts. */
+import { XxhashKeyHasher } from "../hashing/key_hasher.ts";
 import { HttpBackendTransport } from "../services/backend/http_backend_transport.ts";
 import {
   HttpObjectStore,
@@ -50,6 +51,7 @@
   kernel
     .register(new SystemClock())
     .register(new SystemRandomSource())
+    .register(new XxhashKeyHasher())
     .register(
       new ConsolaLog({
         format: settings.logFormat,
--- a/src/kernel/service_map.ts
+++ b/src/kernel/service_map.ts
@@ -1,4 +1,5 @@
 /** Maps each service name to the abstract class that the kernel hands out. */
+import type { KeyHasher } from "../hashing/key_hasher.ts";
 import type { BackendTransport } from "../host/backend_transport.ts";
 import type { Clock } from "../host/clock.ts";
 import type { ObjectStore } from "../host/object_store.ts";
@@ -25,6 +26,7 @@
 export interface ServiceMap {
   [ServiceName.Clock]: Clock;
   [ServiceName.Random]: RandomSource;
+  [ServiceName.KeyHasher]: KeyHasher;
   [ServiceName.Log]: Log;
   [ServiceName.Metrics]: Metrics;
   [ServiceName.PlatformTable]: PlatformTable;
--- a/src/kernel/service_name.ts
+++ b/src/kernel/service_name.ts
@@ -8,6 +8,7 @@
 export enum ServiceName {
   Clock = "clock",
   Random = "random",
+  KeyHasher = "key-hasher",
   Log = "log",
   Metrics = "metrics",
   PlatformTable = "platform-table",
--- a/src/services/admission/equal_shares.ts
+++ b/src/services/admission/equal_shares.ts
@@ -14,9 +14,10 @@
   #services: ServiceLookup | undefined;
   #ranking: HomeRanking | undefined;
 
-  override async start(services: ServiceLookup): Promise<void> {
+  override start(services: ServiceLookup): Promise<void> {
     this.#services = services;
-    this.#ranking = await HomeRanking.open(services);
+    this.#ranking = new HomeRanking(services);
+    return Promise.resolve();
   }
 
   override stop(): Promise<void> {
--- a/src/services/admission/home_ranking.ts
+++ b/src/services/admission/home_ranking.ts
@@ -6,10 +6,7 @@
 import { ServiceName } from "../../kernel/service_name.ts";
 import { subscribe } from "../../streams/subscribe.ts";
 import type { DaemonInfo } from "../../types/types.ts";
-import {
-  createHashFunction,
-  type HashFunction,
-} from "../../hashing/key_hash.ts";
+import type { HashFunction } from "../../hashing/key_hash.ts";
 
 /** Daemons that can stand in for a home, the home included. */
 export const rankedDaemonCount = 3;
@@ -22,9 +19,10 @@
   readonly #unsubscribe: () => void;
   #daemons: readonly DaemonInfo[];
 
-  private constructor(services: ServiceLookup, hash: HashFunction) {
+  /** Follows the membership until `close`. */
+  constructor(services: ServiceLookup) {
     this.#services = services;
-    this.#hash = hash;
+    this.#hash = services.get(ServiceName.KeyHasher).hashFunction();
     this.#daemons = this.#readDaemons();
     this.#unsubscribe = subscribe(
       services.get(ServiceName.Membership).changes,
@@ -32,11 +30,6 @@
     );
   }
 
-  /** Follows the membership until `close`. */
-  static async open(services: ServiceLookup): Promise<HomeRanking> {
-    return new HomeRanking(services, await createHashFunction());
-  }
-
   close(): void {
     this.#unsubscribe();
   }
--- a/src/services/admission/home_sharing.ts
+++ b/src/services/admission/home_sharing.ts
@@ -44,8 +44,8 @@
   /** For how long the requests leased ahead should last; 0 for none. */
   protected abstract prefetchDurationMs(syncIntervalMs: number): number;
 
-  override async start(services: ServiceLookup): Promise<void> {
-    const ranking = await HomeRanking.open(services);
+  override start(services: ServiceLookup): Promise<void> {
+    const ranking = new HomeRanking(services);
     const suspicion = new PeerSuspicion();
     const peers = new ConnectAllowancePeers(services, {
       exchangeTimeoutMs,
@@ -71,6 +71,7 @@
     };
     this.#run(keeper.replicateUntilStopped(this.#stopping.signal));
     this.#run(this.#dropIdleUntilStopped(services));
+    return Promise.resolve();
   }
 
   override async stop(): Promise<void> {
--- a/src/services/admission/ledger_keeper_test.ts
+++ b/src/services/admission/ledger_keeper_test.ts
@@ -98,15 +98,15 @@
   (await settleWithin(fleet.clock, applied, 5_000))._unsafeUnwrap();
   await fleet.clock.advance(3_000);
   const peers = new MemoryPeers();
-  const ranking = await HomeRanking.open(fleet.daemons[0]!.kernel);
+  const ranking = new HomeRanking(fleet.daemons[0]!.kernel);
   const ranked = ranking.rank(key.customer);
   ranking.close();
-  const open = async ({ daemonId }: DaemonInfo) => {
+  const open = ({ daemonId }: DaemonInfo) => {
     const daemon = fleet.daemons.find((d) => d.daemonId === daemonId)!;
     const keeper = new LedgerKeeper({
       services: daemon.kernel,
       peers,
-      ranking: await HomeRanking.open(daemon.kernel),
+      ranking: new HomeRanking(daemon.kernel),
       suspicion: new PeerSuspicion(),
       times,
     });
@@ -135,8 +135,8 @@
   describe("a report that reaches a daemon of lower rank", () => {
     it("is decided by the home while that can be reached", async () => {
       const { fleet, home, standby, open } = await openKeepers(71);
-      const first = await open(home);
-      const second = await open(standby);
+      const first = open(home);
+      const second = open(standby);
       const one = await first
         .exchange(createWish("a", 30), { isRelayed: false });
       const other = await second
@@ -149,8 +149,8 @@
 
     it("is decided there when the home is gone", async () => {
       const { fleet, peers, home, standby, open } = await openKeepers(72);
-      const first = await open(home);
-      const second = await open(standby);
+      const first = open(home);
+      const second = open(standby);
       await first.exchange(createWish("a", 30), { isRelayed: false });
       await first.replicateOnce();
       peers.unreachable.add(home.daemonId);
@@ -164,9 +164,9 @@
   describe("a daemon that becomes home", () => {
     it("first takes over what the last home granted", async () => {
       const { fleet, home, standby, open } = await openKeepers(73);
-      const last = await open(standby);
+      const last = open(standby);
       await last.exchange(createWish("a", 40), { isRelayed: true });
-      const joined = await open(home);
+      const joined = open(home);
       const grant = await joined
         .exchange(createWish("b", 30), { isRelayed: false });
       assert.is(grant?.grantedCount, 10);
@@ -177,8 +177,8 @@
   describe("a home that was frozen", () => {
     it("first learns what was granted in its place", async () => {
       const { fleet, peers, home, standby, open } = await openKeepers(74);
-      const first = await open(home);
-      const second = await open(standby);
+      const first = open(home);
+      const second = open(standby);
       await first.exchange(createWish("a", 10), { isRelayed: false });
       await first.replicateOnce();
       peers.unreachable.add(home.daemonId);
--- a/src/services/admission/shared_admission.ts
+++ b/src/services/admission/shared_admission.ts
@@ -40,6 +40,7 @@
   override get needs(): readonly ServiceName[] {
     return [
       ServiceName.Clock,
+      ServiceName.KeyHasher,
       ServiceName.Metrics,
       ServiceName.Lists,
       ServiceName.Membership,
--- a/src/services/ownership/coordinated_ownership.ts
+++ b/src/services/ownership/coordinated_ownership.ts
@@ -21,7 +21,7 @@
 import { subscribe } from "../../streams/subscribe.ts";
 import { type ControlOptions, drainTimeoutMs } from "./control_options.ts";
 import { ControlState } from "./control_state.ts";
-import { computeShard, createHashFunction } from "../../hashing/key_hash.ts";
+import { computeShard } from "../../hashing/key_hash.ts";
 import { LeaseStore } from "./lease_store.ts";
 import { LeaseTask } from "./lease_task.ts";
 import {
@@ -62,6 +62,7 @@
     return [
       ServiceName.Clock,
       ServiceName.Random,
+      ServiceName.KeyHasher,
       ServiceName.Log,
       ServiceName.Metrics,
       ServiceName.Membership,
@@ -72,8 +73,8 @@
     ];
   }
 
-  override async start(services: ServiceLookup): Promise<void> {
-    const hash = await createHashFunction();
+  override start(services: ServiceLookup): Promise<void> {
+    const hash = services.get(ServiceName.KeyHasher).hashFunction();
     const state = new ControlState(services, { options: this.#options, hash });
     state.inFlightSource = this.#inFlightSource;
     this.#state = state;
@@ -87,6 +88,7 @@
       runSyncTask(state, store, signal),
       new LeaseTask(state, store).run(signal),
     );
+    return Promise.resolve();
   }
 
   /** Waits until the servers homed here have other homes, or a time limit. */
--- a/src/services/ownership/coordinator.ts
+++ b/src/services/ownership/coordinator.ts
@@ -10,11 +10,7 @@
   ServerId,
   VmRecord,
 } from "../../types/types.ts";
-import {
-  type AssignmentRow,
-  noHomeDaemonId,
-  type PendingRelease,
-} from "./assignment_codec.ts";
+import { type AssignmentRow, noHomeDaemonId } from "./assignment_codec.ts";
 import { Authority } from "./authority.ts";
 import {
   firstAssignmentDelayMs,
@@ -24,11 +20,13 @@
 import type { ControlState } from "./control_state.ts";
 import { FleetView } from "./fleet_view.ts";
 import { HomeChooser, type HomeLoads } from "./home_assignment.ts";
+import { planMembers } from "./member_planner.ts";
 import { planMoves } from "./move_planner.ts";
 import { computeShard } from "../../hashing/key_hash.ts";
 import { PermitLedger } from "./permit_ledger.ts";
 import { PlacementGate } from "./placement_gate.ts";
 import { ServiceRates } from "./placement_service_rates.ts";
+import { ReleaseTracker } from "./release_tracker.ts";
 import type { SyncReport } from "./sync_messages.ts";
 import { tryGetParent } from "./sync_tree.ts";
 
@@ -51,7 +49,7 @@
   readonly #ledger: PermitLedger;
   readonly #origin: LeaseOrigin;
   readonly #rates: ReadonlyMap<string, ServiceRates>;
-  readonly #handedOutAtMs = new Map<string, number>();
+  readonly #releases: ReleaseTracker;
   #highestPromise = 0;
   readonly #gate: PlacementGate;
   #isLoaded = false;
@@ -69,6 +67,11 @@
       previousEndedAtMs: origin.previousEndedAtMs,
       previousHolderId: origin.previousHolderId,
     });
+    this.#releases = new ReleaseTracker({
+      fleet: this.fleet,
+      ledger: this.#ledger,
+      takenAtMs: origin.takenAtMs,
+    });
   }
 
   epoch(): number {
@@ -140,9 +143,7 @@
 
   /** Notes that new rows or members are handed out from now on. */
   noteHandedOut(rows: readonly AssignmentRow[], nowMs: number): void {
-    for (const { service, version } of rows) {
-      this.#handedOutAtMs.set(`${service}/${version}`, nowMs);
-    }
+    this.#releases.noteHandedOut(rows, nowMs);
     const view = this.#state.record.view();
     const indirect = view.members.map(({ daemonId }) => daemonId)
       .filter((id) => {
@@ -150,7 +151,7 @@
         return parent !== undefined && parent.daemonId !== view.holderId;
       });
     this.#ledger.setIndirect(new Set(indirect), nowMs);
-    this.#forgetVersions();
+    this.#releases.forgetVersions(this.#state.book.rows());
   }
 
   /** Whether fewer than half of the members were heard lately. */
@@ -170,25 +171,14 @@
 
   /** The members as they should be recorded now. */
   planMembers(nowMs: number): readonly DaemonInfo[] {
-    const listed = new Set(
-      this.#state.directory.current().map(({ vmId }) => vmId),
-    );
-    const live = new Map(
-      this.#listLive(nowMs).map((daemon) => [daemon.daemonId, daemon]),
-    );
-    const remembered = new Set(
-      this.fleet.heardSince(nowMs - memberForgetMs).map((d) => d.daemonId),
-    );
-    const kept = this.#state.record.view().members
-      .filter(({ daemonId }) =>
-        live.has(daemonId) ||
-        (remembered.has(daemonId) &&
-          (listed.size === 0 || listed.has(daemonId)))
-      )
-      .map((daemon) => live.get(daemon.daemonId) ?? daemon);
-    const keptIds = new Set(kept.map(({ daemonId }) => daemonId));
-    const joined = [...live.values()].filter((d) => !keptIds.has(d.daemonId));
-    return [...kept, ...joined];
+    const remembered = this.fleet.heardSince(nowMs - memberForgetMs);
+    const listed = this.#state.directory.current();
+    return planMembers({
+      recorded: this.#state.record.view().members,
+      live: this.#listLive(nowMs),
+      rememberedIds: new Set(remembered.map(({ daemonId }) => daemonId)),
+      listedIds: new Set(listed.map(({ vmId }) => vmId)),
+    });
   }
 
   /** Plans the next row of every service; only the changed ones return. */
@@ -224,7 +214,11 @@
           this.fleet.tryGetServer(serverId),
         isDaemonLive: (daemonId) => liveIds.has(daemonId),
         isReleased: (release) =>
-          this.#isReleased(definition.name, { release, liveIds, nowMs }),
+          this.#releases.isReleased(definition.name, {
+            release,
+            liveIds,
+            nowMs,
+          }),
         facts: {
           service: definition.name,
           shardCount: definition.shardCount,
@@ -236,28 +230,6 @@
     );
   }
 
-  /**
-   * A live home must report its release, however long its work runs. A lost
-   * one can send nothing once its permit has lapsed.
-   */
-  #isReleased(
-    service: string,
-    { release, liveIds, nowMs }: {
-      readonly release: PendingRelease;
-      readonly liveIds: ReadonlySet<DaemonId>;
-      readonly nowMs: number;
-    },
-  ): boolean {
-    const { daemonId, sinceVersion } = release;
-    if (this.fleet.hasReleased(daemonId, service, sinceVersion)) return true;
-    if (liveIds.has(daemonId)) return false;
-    const handedOutAtMs = this.#handedOutAtMs.get(`${service}/${sinceVersion}`);
-    return nowMs >= this.#ledger.lapseAtMs(
-      daemonId,
-      handedOutAtMs ?? this.#origin.takenAtMs,
-    );
-  }
-
   /** Notes how long a commit took; moves wait while the table is slow. */
   noteCommit(durationMs: number): void {
     this.#gate.noteCommit(durationMs);
@@ -314,19 +286,6 @@
     }
     return loads;
   }
-
-  /** Drops the dates of versions that no release waits for. */
-  #forgetVersions(): void {
-    const awaited = new Set(
-      this.#state.book.rows().flatMap((row) => [
-        `${row.service}/${row.version}`,
-        ...row.pendingReleases.map((p) => `${row.service}/${p.sinceVersion}`),
-      ]),
-    );
-    for (const version of this.#handedOutAtMs.keys()) {
-      if (!awaited.has(version)) this.#handedOutAtMs.delete(version);
-    }
-  }
 }
 
 function createRates(
--- a/src/testing/test_fleet.ts
+++ b/src/testing/test_fleet.ts
@@ -7,6 +7,8 @@
   type DecisionSettings,
   registerDecisions,
 } from "../daemon/create_daemon.ts";
+import { createHashFunction, type HashFunction } from "../hashing/key_hash.ts";
+import { LoadedKeyHasher } from "../hashing/key_hasher.ts";
 import { SeededRandomSource } from "../host/random_source.ts";
 import { Kernel } from "../kernel/kernel.ts";
 import { ServiceName } from "../kernel/service_name.ts";
@@ -80,7 +82,6 @@
 
 const dataCentres = ["dc-a", "dc-b", "dc-c"];
 const settleMs = 3_000;
-const realWaitTurns = 50;
 
 /** Daemons, backend servers and a platform in one process. */
 export class TestFleet {
@@ -92,6 +93,7 @@
   readonly definition: ServiceDefinition;
   readonly #options: TestFleetOptions;
   readonly #starting = new Set<TestDaemon>();
+  #hash: HashFunction | undefined;
   #requestCount = 0;
   #daemonCount = 0;
 
@@ -153,16 +155,18 @@
 
   /** Starts one more daemon, moving the clock until it runs. */
   async addDaemon(): Promise<TestDaemon> {
+    await this.#loadHash();
     const starting = this.startDaemon();
     let isStarted = false;
     starting.then(() => isStarted = true, () => isStarted = true);
-    await waitInRealTime(() => isStarted);
+    await this.clock.advance(0);
     while (!isStarted) await this.clock.advance(1);
     return await starting;
   }
 
   /** Starts one more daemon while somebody else moves the clock. */
   async startDaemon(): Promise<TestDaemon> {
+    await this.#loadHash();
     const index = this.#daemonCount++;
     const daemonId = `daemon-${String(index).padStart(3, "0")}`;
     const dataCentre = dataCentres[index % dataCentres.length]!;
@@ -246,6 +250,14 @@
     return daemon.kernel.get(ServiceName.Delivery).deliver(request, signal);
   }
 
+  /**
+   * Loads the hash before any daemon starts: virtual time must not depend on
+   * how fast the machine compiles it.
+   */
+  async #loadHash(): Promise<void> {
+    this.#hash ??= await createHashFunction();
+  }
+
   #createDaemon(
     daemonId: string,
     { index, dataCentre }: { index: number; dataCentre: string },
@@ -258,6 +270,7 @@
     const kernel = new Kernel()
       .register(clock)
       .register(new SeededRandomSource(this.#options.seed * 1_000 + index))
+      .register(new LoadedKeyHasher(this.#hash!))
       .register(log)
       .register(new StatsdMetrics({ address: undefined, daemonId }))
       .register(new FakePlatformTable(this.platform, caller))
@@ -281,16 +294,6 @@
   }
 }
 
-/**
- * Waits a little for work that needs no virtual time, such as compiling the
- * hash, so that virtual time does not depend on how fast the machine is.
- */
-async function waitInRealTime(isDone: () => boolean): Promise<void> {
-  for (let turn = 0; turn < realWaitTurns && !isDone(); turn++) {
-    await new Promise<void>((resolve) => setTimeout(resolve, 1));
-  }
-}
-
 /** Advances the clock until the promise settles, at most `limitMs`. */
 export async function settleWithin<T>(
   clock: VirtualClock,
--- a/src/testing/test_fleet_test.ts
+++ b/src/testing/test_fleet_test.ts
@@ -22,4 +22,21 @@
       await fleet.stop();
     });
   });
+
+  describe("start", () => {
+    it("takes equal virtual time in every run", async () => {
+      const instants = new Set<number>();
+      for (let run = 0; run < 3; run++) {
+        const fleet = new TestFleet({
+          seed: 1,
+          daemonCount: 3,
+          serverCount: 3,
+        });
+        await fleet.start();
+        instants.add(fleet.clock.nowMs());
+        await fleet.stop();
+      }
+      assert.is(instants.size, 1, [...instants].join());
+    });
+  });
 });
