--- a/src/services/ownership/coordinated_ownership.ts
+++ b/src/services/ownership/coordinated_ownership.ts
@@ -21,7 +21,7 @@
 import { subscribe } from "../../streams/subscribe.ts";
 import { type ControlOptions, drainTimeoutMs } from "./control_options.ts";
 import { ControlState } from "./control_state.ts";
-import { computeShard, createHashFunction } from "./key_hash.ts";
+import { computeShard } from "../../hashing/key_hash.ts";
 import { LeaseStore } from "./lease_store.ts";
 import { LeaseTask } from "./lease_task.ts";
 import {
@@ -62,6 +62,7 @@
     return [
       ServiceName.Clock,
       ServiceName.Random,
+      ServiceName.KeyHasher,
       ServiceName.Log,
       ServiceName.Metrics,
       ServiceName.Membership,
@@ -72,8 +73,8 @@
     ];
   }
 
-  override async start(services: ServiceLookup): Promise<void> {
-    const hash = await createHashFunction();
+  override start(services: ServiceLookup): Promise<void> {
+    const hash = services.get(ServiceName.KeyHasher).hashFunction();
     const state = new ControlState(services, { options: this.#options, hash });
     state.inFlightSource = this.#inFlightSource;
     this.#state = state;
@@ -87,6 +88,7 @@
       runSyncTask(state, store, signal),
       new LeaseTask(state, store).run(signal),
     );
+    return Promise.resolve();
   }
 
   /** Waits until the servers homed here have other homes, or a time limit. */
@@ -94,7 +96,7 @@
     const state = this.#state;
     if (state === undefined) return;
     state.membership.beginDraining();
-    state.urgent.set();
+    state.urgent.notify();
     const endAtMs = state.clock.nowMs() + drainTimeoutMs;
     while (state.clock.nowMs() < endAtMs && !isDrained(state)) {
       await state.clock.sleep(drainCheckIntervalMs);
@@ -146,7 +148,7 @@
   }
 
   override requestRefresh(_service: string): void {
-    this.#state?.urgent.set();
+    this.#state?.urgent.notify();
   }
 
   override tryGetPermit(serverId: ServerId): HomePermit | undefined {
@@ -171,8 +173,8 @@
     const assigned = state.book.tryGetServer(observation.serverId);
     if (!isUrgentState(observation.state)) return;
     if (assigned?.state === observation.state) return;
-    state.urgent.set();
-    state.decisions.set();
+    state.urgent.notify();
+    state.decisions.notify();
   }
 
   override coordinator(): CoordinatorStatus | undefined {
