Bench throughput with compiled programs

Cause: the bench ran the daemon, the forwarder and the stand-ins through tsx. No figures: the trials on the shared machine ran at load averages from 4 to 35 and do not compare.

--- a/bench/throughput.ts
+++ b/bench/throughput.ts
@@ -1,6 +1,7 @@
 /**
  * Throughput and added latency of one daemon process against a bare forwarder
- * in the same run, in turns, with the same backend stand-ins and callers.
+ * in the same run, in turns, with the same backend stand-ins and callers. All
+ * programs run as `npm run build` compiled them.
  */
 import { SeededRandomSource } from "../src/host/random_source.ts";
 import { SystemClock } from "../src/host/system_clock.ts";
@@ -10,7 +11,7 @@
   type LatencySummary,
   OpenLoopLoad,
 } from "../scripts/open_loop_load.ts";
-import { findFreePort } from "../scripts/process_group.ts";
+import { findFreePort, ProgramForm } from "../scripts/process_group.ts";
 import { formatTable } from "../src/plots/text_table.ts";
 import { Bench, BoundKind, type Figure } from "./bench.ts";
 import { runClosedLoop } from "./closed_loop.ts";
@@ -71,6 +72,7 @@
   ): Promise<readonly Figure[]> {
     const fleet = new DemoFleet({
       daemonCount: 1,
+      programForm: ProgramForm.Compiled,
       serverCountByService: { [service]: backendCount },
       lists,
       daemonEnvironment: { SKYLARKRIDGE_SERVICES: services },
--- a/scripts/demo_fleet.ts
+++ b/scripts/demo_fleet.ts
@@ -12,6 +12,7 @@
 import {
   findFreePort,
   ProcessGroup,
+  ProgramForm,
   type StartedProcess,
 } from "./process_group.ts";
 
@@ -37,6 +38,8 @@
   readonly lists?: ListTexts;
   readonly daemonEnvironment?: Readonly<Record<string, string>>;
   readonly serverEnvironment?: Readonly<Record<string, string>>;
+  /** How the processes are run; from source when undefined. */
+  readonly programForm?: ProgramForm;
   readonly onDaemonLog?: (daemonId: string, text: string) => void;
 }
 
@@ -63,7 +66,7 @@
 
 /** Processes of one small fleet. */
 export class DemoFleet {
-  readonly group = new ProcessGroup();
+  readonly group: ProcessGroup;
   readonly daemons: DaemonProcess[] = [];
   readonly servers: ServerProcess[] = [];
   readonly #shape: FleetShape;
@@ -71,6 +74,7 @@
 
   constructor(shape: FleetShape) {
     this.#shape = shape;
+    this.group = new ProcessGroup(shape.programForm ?? ProgramForm.Source);
   }
 
   /** Starts everything and waits until every daemon is ready. */
--- a/scripts/process_group.ts
+++ b/scripts/process_group.ts
@@ -6,6 +6,15 @@
 import { once } from "node:events";
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
+import { assertNever } from "../src/types/errors.ts";
+
+/** How a program of this repository is run. */
+export enum ProgramForm {
+  /** The TypeScript source, translated while it is loaded. */
+  Source = "source",
+  /** What `npm run build` wrote. */
+  Compiled = "compiled",
+}
 
 /** A started process. */
 export interface StartedProcess {
@@ -25,8 +34,13 @@
 
 /** Processes that end together. */
 export class ProcessGroup {
+  readonly #form: ProgramForm;
   readonly #processes: StartedProcess[] = [];
 
+  constructor(form = ProgramForm.Source) {
+    this.#form = form;
+  }
+
   /** Starts a TypeScript program with the given environment. */
   start(
     name: string,
@@ -38,7 +52,7 @@
   ): StartedProcess {
     const child = spawn(
       process.execPath,
-      ["--import", "tsx", options.program],
+      createProgramArguments(this.#form, options.program),
       {
         env: { ...process.env, ...options.environment },
         stdio: ["ignore", "pipe", "pipe"],
@@ -65,3 +79,14 @@
     await Promise.all(this.#processes.map((p) => this.end(p, "SIGKILL")));
   }
 }
+
+function createProgramArguments(form: ProgramForm, program: string): string[] {
+  switch (form) {
+    case ProgramForm.Source:
+      return ["--import", "tsx", program];
+    case ProgramForm.Compiled:
+      return [`dist/${program.replace(/\.ts$/, ".js")}`];
+    default:
+      return assertNever(form);
+  }
+}
