Prove that a takeover needs the promises of half the members

Change: a test in which the store is reached only by a candidate that is cut off from every member, while a majority follows the coordinator.

--- a/src/services/ownership/exclusivity_test.ts
+++ b/src/services/ownership/exclusivity_test.ts
@@ -134,6 +134,24 @@
     });
   });
 
+  describe("with a candidate that reaches the store but no member", () => {
+    it("leaves the lease to the coordinator that a majority follows", async () => {
+      const { fleet, traffic } = await startFleet(55);
+      const coordinator = findCoordinator(fleet);
+      const { epoch } = getLease(fleet);
+      const candidate = fleet.daemons.find((d) => d !== coordinator)!;
+      for (const daemon of fleet.daemons) {
+        if (daemon === candidate) continue;
+        fleet.platform.cutOff.add(daemon.daemonId);
+        fleet.network.cut(daemon.address, candidate.address);
+      }
+      await traffic.run(8_000);
+      assert.is(getLease(fleet).epoch, epoch);
+      assert.equal(traffic.violations(), []);
+      await fleet.stop();
+    });
+  });
+
   describe("under random faults", () => {
     it("never lets two servers own a key, under fixed seeds", async () => {
       await fc.assert(
