Let one grant book serve the fake and the stand-in

The codes of a connection that failed before anything was sent stood twice as well. Change: the fake uses GrantBook, which takes its clock from its owner and keeps a higher fence on revoke; notSentCodes has one place. A test calls accept on the book; its assertions are unchanged. Conclusion: behaviour of the fake is unchanged; the stand-in's revoke is stricter.

--- a/src/services/backend/http_backend_transport.ts
+++ b/src/services/backend/http_backend_transport.ts
@@ -12,6 +12,7 @@
   type BackendReport,
   BackendTransport,
 } from "../../host/backend_transport.ts";
+import { notSentCodes } from "../../host/not_sent_codes.ts";
 import { AttemptOutcome } from "../../types/enums.ts";
 import { RouterError } from "../../types/errors.ts";
 import type {
@@ -42,14 +43,6 @@
   readonly connectionsPerServer: number;
 }
 
-/** Codes that undici reports when no byte of the request was sent. */
-const notSentCodes: ReadonlySet<string> = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
-
 /** The connections to one backend server. */
 interface ServerPools {
   readonly requests: Pool;
--- a/src/services/home/slot_home_test.ts
+++ b/src/services/home/slot_home_test.ts
@@ -100,7 +100,7 @@
         shardFences: fleet.assignment.shardFences.map(() => 2),
       });
       await fleet.clock.advance(500);
-      oldServer.accept({
+      oldServer.grants.accept({
         service: "roster",
         shards: [0],
         keys: [],
--- a/src/services/peers/http_peer_transport.ts
+++ b/src/services/peers/http_peer_transport.ts
@@ -7,6 +7,7 @@
 import { PeerTransport } from "../../host/peer_transport.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
+import { notSentCodes } from "../../host/not_sent_codes.ts";
 import { AttemptOutcome, RequestClass } from "../../types/enums.ts";
 import { RouterError } from "../../types/errors.ts";
 import { tryDecodeFailure } from "../../types/failure_codec.ts";
@@ -32,14 +33,6 @@
   readonly callTimeoutMs: number;
 }
 
-/** Codes that undici reports when no byte of the request was sent. */
-const notSentCodes: ReadonlySet<string> = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
-
 /** Reaches peers over HTTP. */
 export class HttpPeerTransport extends PeerTransport {
   readonly #options: HttpPeerTransportOptions;
--- a/src/testing/fake_backend.ts
+++ b/src/testing/fake_backend.ts
@@ -4,6 +4,7 @@
  * never a daemon's account of itself.
  */
 import { err, ok, type Result } from "neverthrow";
+import { GrantBook } from "../../standins/backend/grant_book.ts";
 import { MessageCode } from "../diagnostics/messages.ts";
 import {
   type BackendGrant,
@@ -63,17 +64,12 @@
   EndlessBody = "endless-body",
 }
 
-interface HeldGrant {
-  readonly fence: number;
-  readonly expiresAtMs: number;
-}
-
 /** One backend server. */
 export class FakeBackendServer {
   readonly serverId: string;
   readonly clock: FreezableClock;
   readonly behaviour: FakeServerBehaviour;
-  readonly grants = new Map<string, HeldGrant>();
+  readonly grants: GrantBook;
   readonly executions: FakeExecution[] = [];
   readonly #waiting: (() => void)[] = [];
   #busySlots = 0;
@@ -85,6 +81,7 @@
   ) {
     this.serverId = serverId;
     this.clock = clock;
+    this.grants = new GrantBook(() => clock.nowMs());
     this.behaviour = {
       isFenceChecked: true,
       serviceTimeMs: 2,
@@ -137,28 +134,6 @@
     }
   }
 
-  /** Accepts a grant unless it holds a higher fence. */
-  accept(grant: BackendGrant): boolean {
-    const names = grantNames(grant);
-    const isStale = names.some((name) =>
-      (this.grants.get(name)?.fence ?? 0) > grant.fence
-    );
-    if (isStale) return false;
-    const expiresAtMs = this.clock.nowMs() + grant.grantDurationMs;
-    for (const name of names) {
-      this.grants.set(name, { fence: grant.fence, expiresAtMs });
-    }
-    return true;
-  }
-
-  /** Withdraws a grant. */
-  revoke(grant: BackendGrant): void {
-    for (const name of grantNames(grant)) {
-      if ((this.grants.get(name)?.fence ?? 0) > grant.fence) continue;
-      this.grants.set(name, { fence: grant.fence, expiresAtMs: 0 });
-    }
-  }
-
   #record(request: RoutedRequest, location: KeyLocation): FakeExecution {
     const execution: FakeExecution = {
       serverId: this.serverId,
@@ -193,14 +168,11 @@
       return this.#createRefusal("start-deadline");
     }
     if (!this.behaviour.isFenceChecked) return undefined;
-    const grant = selectGrant(
-      this.grants.get(`${request.service}/key/${request.key}`),
-      this.grants.get(`${request.service}/shard/${location.shard}`),
-      { nowMs: this.clock.nowMs() },
-    );
-    const isHeld = grant !== undefined &&
-      this.clock.nowMs() <= grant.expiresAtMs &&
-      grant.fence === location.fence;
+    const isHeld = this.grants.allows({
+      service: request.service,
+      key: request.key,
+      shard: String(location.shard),
+    }, location.fence);
     return isHeld ? undefined : this.#createRefusal("fence");
   }
 
@@ -224,29 +196,6 @@
   }
 }
 
-/**
- * The grant that decides: the key's own while it lasts, and afterwards its
- * shard's, unless that is the older of the two.
- */
-function selectGrant(
-  keyGrant: HeldGrant | undefined,
-  shardGrant: HeldGrant | undefined,
-  { nowMs }: { readonly nowMs: number },
-): HeldGrant | undefined {
-  if (keyGrant === undefined || shardGrant === undefined) {
-    return keyGrant ?? shardGrant;
-  }
-  if (nowMs <= keyGrant.expiresAtMs) return keyGrant;
-  return keyGrant.fence > shardGrant.fence ? keyGrant : shardGrant;
-}
-
-function grantNames(grant: BackendGrant): string[] {
-  return [
-    ...grant.shards.map((shard) => `${grant.service}/shard/${shard}`),
-    ...grant.keys.map((key) => `${grant.service}/key/${key}`),
-  ];
-}
-
 function createAnswer(
   serverId: string,
   request: RoutedRequest,
@@ -361,7 +310,7 @@
   ): Promise<Result<void, RouterError>> {
     const reached = await this.#control(server, signal);
     if (reached.isErr()) return err(reached.error);
-    if (reached.value.accept(grant)) return ok(undefined);
+    if (reached.value.grants.accept(grant)) return ok(undefined);
     return err(
       new RouterError(MessageCode.FenceRefused, "grant", {
         peer: server.serverId,
@@ -376,7 +325,7 @@
     signal: AbortSignal,
   ): Promise<Result<void, RouterError>> {
     const reached = await this.#control(server, signal);
-    return reached.map((target) => target.revoke(grant));
+    return reached.map((target) => target.grants.revoke(grant));
   }
 
   override forget(_server: AssignedServer): Promise<void> {
--- a/standins/backend/backend_standin.ts
+++ b/standins/backend/backend_standin.ts
@@ -33,7 +33,7 @@
 export class BackendStandin {
   readonly server: Server;
   readonly #serverId: string;
-  readonly #grants = new GrantBook();
+  readonly #grants = new GrantBook(() => performance.now());
   readonly #log: ExecutionLog;
   readonly #reporter = new LoadReporter();
   readonly #slots = new SlotQueue(() => this.#behaviour.slotCount);
--- a/standins/backend/grant_book.ts
+++ b/standins/backend/grant_book.ts
@@ -16,6 +16,12 @@
 /** Grants by shard and by key, each with the highest fence seen. */
 export class GrantBook {
   readonly #grants = new Map<string, HeldGrant>();
+  readonly #getNowMs: () => number;
+
+  /** `getNowMs` reads the server's monotonic clock, in milliseconds. */
+  constructor(getNowMs: () => number) {
+    this.#getNowMs = getNowMs;
+  }
 
   /** Takes a grant unless a higher fence is known for one of its parts. */
   accept(grant: BackendGrant): boolean {
@@ -24,16 +30,17 @@
       (this.#grants.get(name)?.fence ?? 0) > grant.fence
     );
     if (isStale) return false;
-    const expiresAtMs = performance.now() + grant.grantDurationMs;
+    const expiresAtMs = this.#getNowMs() + grant.grantDurationMs;
     for (const name of names) {
       this.#grants.set(name, { fence: grant.fence, expiresAtMs });
     }
     return true;
   }
 
-  /** Withdraws a grant. */
+  /** Withdraws a grant; a higher fence stays. */
   revoke(grant: BackendGrant): void {
     for (const name of listNames(grant)) {
+      if ((this.#grants.get(name)?.fence ?? 0) > grant.fence) continue;
       this.#grants.set(name, { fence: grant.fence, expiresAtMs: 0 });
     }
   }
@@ -46,7 +53,7 @@
       this.#grants.get(`${service}/shard/${shard}`),
     );
     return grant !== undefined && grant.fence === fence &&
-      performance.now() <= grant.expiresAtMs;
+      this.#getNowMs() <= grant.expiresAtMs;
   }
 
   /**
@@ -60,7 +67,7 @@
     if (keyGrant === undefined || shardGrant === undefined) {
       return keyGrant ?? shardGrant;
     }
-    if (performance.now() <= keyGrant.expiresAtMs) return keyGrant;
+    if (this.#getNowMs() <= keyGrant.expiresAtMs) return keyGrant;
     return keyGrant.fence > shardGrant.fence ? keyGrant : shardGrant;
   }
 }
