Run on the users' platform: routing, directory, owned keys, dispatch and gateway

Cause: the daemon spoke only our own protocols and its coordinator needed promises of half of the members, which losses of any number of machines break. Before: nothing served on the platform.

--- /dev/null
+++ b/src/daemon/create_fleet_daemon.ts
@@ -0,0 +1,61 @@
+/** Assembles the daemon that runs on the platform. */
+import { createPlatform } from "../../platform/create_platform.ts";
+import { SystemRandomSource } from "../host/random_source.ts";
+import { SystemClock } from "../host/system_clock.ts";
+import { Kernel } from "../kernel/kernel.ts";
+import { FollowedDirectory } from "../services/directory/followed_directory.ts";
+import { BalancedDispatch } from "../services/dispatch/balanced_dispatch.ts";
+import { HttpGateway } from "../services/gateway/http_gateway.ts";
+import { FollowedKeySpace } from "../services/keyspace/followed_key_space.ts";
+import { LeasedKeyGranter } from "../services/keyspace/leased_key_granter.ts";
+import { PeerLoadReports } from "../services/keyspace/peer_load_reports.ts";
+import { BatchedLog } from "../services/log/batched_log.ts";
+import { FollowedRouting } from "../services/routing/followed_routing.ts";
+import type { FleetSettings } from "./fleet_settings.ts";
+
+/** A connection comes about within a round trip; a lost packet is repeated after a second. */
+const connectTimeoutMs = 300;
+/** Backend servers close idle connections after ten seconds or more. */
+const idleTimeoutMs = 4_000;
+
+/** Creates a daemon that is not started yet. */
+export function createFleetDaemon(settings: FleetSettings): Kernel {
+  const { peerAddress } = settings;
+  const kernel = new Kernel()
+    .register(new SystemClock())
+    .register(new SystemRandomSource())
+    .register(new BatchedLog({ daemonId: settings.daemonId }));
+  const platform = createPlatform({
+    storeAddress: settings.storeAddress,
+    connectTimeoutMs,
+    idleTimeoutMs,
+  });
+  for (const service of platform) kernel.register(service);
+  return kernel
+    .register(new FollowedRouting())
+    .register(new FollowedDirectory())
+    .register(new FollowedKeySpace({ daemonId: settings.daemonId }))
+    .register(
+      new LeasedKeyGranter({
+        peerAddress: `${peerAddress.host}:${peerAddress.port}`,
+      }),
+    )
+    .register(new PeerLoadReports(peerAddress))
+    .register(
+      new BalancedDispatch({
+        zone: settings.zone,
+        retryBounds: {
+          windowMs: settings.retryWindowMs,
+          ratio: settings.retryRatio,
+          extraCount: settings.retryExtraCount,
+        },
+      }),
+    )
+    .register(
+      new HttpGateway({
+        callers: settings.callersAddress,
+        readiness: settings.readinessAddress,
+        graceMs: settings.graceMs,
+      }),
+    );
+}
--- /dev/null
+++ b/src/daemon/fleet_main.ts
@@ -0,0 +1,80 @@
+/**
+ * The daemon on the platform. SIGTERM makes it leave: it gives up the lease of
+ * the key granter, leaves the balancer, finishes its requests and ends.
+ */
+import { settingsVariable } from "../../platform/create_platform.ts";
+import type { Kernel } from "../kernel/kernel.ts";
+import { ServiceName } from "../kernel/service_name.ts";
+import { createFleetDaemon } from "./create_fleet_daemon.ts";
+import { DaemonExitCode } from "./exit_code.ts";
+import { type FleetSettings, readFleetSettings } from "./fleet_settings.ts";
+
+async function main(): Promise<DaemonExitCode> {
+  const path = process.env[settingsVariable];
+  if (path === undefined) {
+    console.error(`${settingsVariable} must hold the path of a settings file`);
+    return DaemonExitCode.Usage;
+  }
+  const settings = readFleetSettings(path);
+  if (settings.isErr()) {
+    console.error(settings.error.message);
+    return DaemonExitCode.Usage;
+  }
+  return await runDaemon(settings.value, path);
+}
+
+async function runDaemon(
+  settings: FleetSettings,
+  path: string,
+): Promise<DaemonExitCode> {
+  const daemon = createFleetDaemon(settings);
+  const terminated = new Promise((resolve) => process.once("SIGTERM", resolve));
+  await daemon.start();
+  const log = daemon.get(ServiceName.Log);
+  log.info("daemon started", {
+    zone: settings.zone,
+    store: settings.storeAddress,
+  });
+  reportUnhandledErrors(daemon);
+  process.on("SIGHUP", () => reload(daemon, { settings, path }));
+  await terminated;
+  log.info("daemon leaving", { graceMs: settings.graceMs });
+  await Promise.all([
+    daemon.get(ServiceName.KeyGranter).resign(),
+    daemon.get(ServiceName.Gateway).leave(),
+  ]);
+  log.info("daemon stopped");
+  await daemon.stop();
+  return DaemonExitCode.Success;
+}
+
+/** Checks the file again; addresses and bounds apply at the next start. */
+function reload(
+  daemon: Kernel,
+  { settings, path }: {
+    readonly settings: FleetSettings;
+    readonly path: string;
+  },
+): void {
+  const log = daemon.get(ServiceName.Log);
+  const read = readFleetSettings(path);
+  if (read.isErr()) {
+    log.error("settings refused", { reason: read.error.message });
+    return;
+  }
+  const isChanged = JSON.stringify(read.value) !== JSON.stringify(settings);
+  log.info("settings read", { isChanged, appliesAt: "next start" });
+}
+
+/** Logs what no task handled, and ends: the daemon's state is unknown. */
+function reportUnhandledErrors(daemon: Kernel): void {
+  process.on("uncaughtException", (error) => {
+    console.error(error);
+    daemon.get(ServiceName.Log).error("unhandled error", {
+      error: error instanceof Error ? error.stack : String(error),
+    });
+    process.exit(DaemonExitCode.Failure);
+  });
+}
+
+process.exit(await main());
--- a/src/diagnostics/messages.ts
+++ b/src/diagnostics/messages.ts
@@ -41,6 +41,7 @@
   PeerUnauthorized = "SR6002",
   PlatformUnavailable = "SR7001",
   PlatformAnswerLost = "SR7002",
+  StoreHistoryGone = "SR7003",
   ListInvalid = "SR8001",
   ListConflict = "SR8002",
   ListsMissing = "SR8003",
@@ -87,6 +88,8 @@
   [MessageCode.PlatformUnavailable]: "the platform is unavailable: {0}",
   [MessageCode.PlatformAnswerLost]:
     "the platform's answer was lost; the write may have taken effect: {0}",
+  [MessageCode.StoreHistoryGone]:
+    "the store no longer has the history that was asked for: {0}",
   [MessageCode.ListInvalid]: "{0}",
   [MessageCode.ListConflict]: "the lists changed since they were read: {0}",
   [MessageCode.ListsMissing]: "no lists are in force yet",
--- a/src/kernel/service_map.ts
+++ b/src/kernel/service_map.ts
@@ -1,16 +1,26 @@
 /** Maps each service name to the abstract class that the kernel hands out. */
 import type { KeyHasher } from "../hashing/key_hasher.ts";
 import type { BackendTransport } from "../host/backend_transport.ts";
+import type { CallerProtocol } from "../host/caller_protocol.ts";
 import type { Clock } from "../host/clock.ts";
 import type { ObjectStore } from "../host/object_store.ts";
 import type { PeerTransport } from "../host/peer_transport.ts";
 import type { PlatformTable } from "../host/platform_table.ts";
 import type { RandomSource } from "../host/random_source.ts";
+import type { ControlTables } from "../host/control_tables.ts";
+import type { RowStore } from "../host/row_store.ts";
+import type { ServerLink } from "../host/server_link.ts";
 import type { VmDirectory } from "../host/vm_directory.ts";
 import type { Admission } from "../services/admission/admission.ts";
 import type { Delivery } from "../services/delivery/delivery.ts";
+import type { Directory } from "../services/directory/directory.ts";
+import type { Dispatch } from "../services/dispatch/dispatch.ts";
 import type { Entry } from "../services/entry/entry.ts";
+import type { Gateway } from "../services/gateway/gateway.ts";
 import type { Home } from "../services/home/home.ts";
+import type { KeyGranter } from "../services/keyspace/key_granter.ts";
+import type { KeySpace } from "../services/keyspace/key_space.ts";
+import type { LoadReports } from "../services/keyspace/load_reports.ts";
 import type { Lifecycle } from "../services/lifecycle/lifecycle.ts";
 import type { Lists } from "../services/lists/lists.ts";
 import type { Log } from "../services/log/log.ts";
@@ -20,6 +30,7 @@
 import type { Ownership } from "../services/ownership/ownership.ts";
 import type { PeerServer } from "../services/peers/peer_server.ts";
 import type { RequestPipeline } from "../services/pipeline/request_pipeline.ts";
+import type { Routing } from "../services/routing/routing.ts";
 import type { ServiceName } from "./service_name.ts";
 
 /** The type behind each service name. */
@@ -45,4 +56,15 @@
   [ServiceName.Lifecycle]: Lifecycle;
   [ServiceName.Entry]: Entry;
   [ServiceName.Operator]: Operator;
+  [ServiceName.RowStore]: RowStore;
+  [ServiceName.ControlTables]: ControlTables;
+  [ServiceName.ServerLink]: ServerLink;
+  [ServiceName.CallerProtocol]: CallerProtocol;
+  [ServiceName.Routing]: Routing;
+  [ServiceName.Directory]: Directory;
+  [ServiceName.KeySpace]: KeySpace;
+  [ServiceName.KeyGranter]: KeyGranter;
+  [ServiceName.LoadReports]: LoadReports;
+  [ServiceName.Dispatch]: Dispatch;
+  [ServiceName.Gateway]: Gateway;
 }
--- /dev/null
+++ b/src/services/gateway/http_gateway.ts
@@ -0,0 +1,465 @@
+/**
+ * The listeners for callers and for the platform's readiness checks. One task
+ * for each request: read it, find its route, dispatch it, answer it.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Duplex } from "node:stream";
+import type { Socket } from "node:net";
+import { pipeline, Readable } from "node:stream";
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { assertNever } from "../../types/errors.ts";
+import type { CallerLimits, Route } from "../../types/routing.ts";
+import {
+  type Delivery,
+  DeliveryEnding,
+  DeliveryReason,
+  type RoutedCall,
+} from "../dispatch/dispatch.ts";
+import { CallerConnection } from "./caller_connection.ts";
+import { Gateway } from "./gateway.ts";
+import { readBody } from "./read_body.ts";
+
+/** Limits until the configuration is known. */
+const initialLimits: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 67_108_864,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+/** The parser's bound; the configured one is checked beneath it. */
+const parserHeaderBytes = 65_536;
+/** How often Node looks for connections whose head is late. */
+const lateCheckIntervalMs = 1_000;
+/** When a caller shall come back that met a daemon without a configuration. */
+const unconfiguredRetryMs = 500;
+/** Time for which callers are accepted after leaving; the balancer needs two checks. */
+const leaveNoticeMs = 2_800;
+/** Kept free at the end of the grace time. */
+const leaveReserveMs = 500;
+/** Pause between looks at the requests in progress. */
+const leaveCheckMs = 50;
+
+const statusOk = 200;
+const statusNotFound = 404;
+const statusBadRequest = 400;
+const statusTooLarge = 413;
+const statusHeadersTooLarge = 431;
+const statusBadGateway = 502;
+const statusUnavailable = 503;
+const statusGatewayTimeout = 504;
+
+/** Where to listen, and how long leaving may take. */
+export interface HttpGatewayOptions {
+  readonly callers: { readonly host: string; readonly port: number };
+  readonly readiness: { readonly host: string; readonly port: number };
+  readonly graceMs: number;
+}
+
+interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly connection: CallerConnection;
+  readonly arrivedAtMs: number;
+}
+
+/** Accepts callers over HTTP. */
+export class HttpGateway extends Gateway {
+  readonly #options: HttpGatewayOptions;
+  readonly #connections = new WeakMap<Duplex, CallerConnection>();
+  #services: ServiceLookup | undefined;
+  #callers: Server | undefined;
+  #readiness: Server | undefined;
+  #activeCount = 0;
+  #isLeaving = false;
+
+  constructor(options: HttpGatewayOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override get needs(): readonly ServiceName[] {
+    return [
+      ServiceName.Clock,
+      ServiceName.Log,
+      ServiceName.CallerProtocol,
+      ServiceName.Routing,
+      ServiceName.Directory,
+      ServiceName.KeySpace,
+      ServiceName.Dispatch,
+    ];
+  }
+
+  override async start(services: ServiceLookup): Promise<void> {
+    this.#services = services;
+    this.#callers = this.#createCallersServer();
+    this.#readiness = createServer((request, response) =>
+      this.#answerReadiness(request, response)
+    );
+    void this.#followLimits(services, this.#callers);
+    await Promise.all([
+      listen(this.#callers, this.#options.callers),
+      listen(this.#readiness, this.#options.readiness),
+    ]);
+  }
+
+  override async leave(): Promise<void> {
+    const clock = this.#services!.get(ServiceName.Clock);
+    const leftAtMs = clock.nowMs();
+    const endAtMs = leftAtMs + this.#options.graceMs - leaveReserveMs;
+    this.#isLeaving = true;
+    await clock.sleep(leaveNoticeMs);
+    this.#callers?.close();
+    this.#callers?.closeIdleConnections();
+    while (this.#activeCount > 0 && clock.nowMs() < endAtMs) {
+      await clock.sleep(leaveCheckMs);
+      this.#callers?.closeIdleConnections();
+    }
+    this.#services!.get(ServiceName.Log).info("callers left", {
+      cutOffCount: this.#activeCount,
+      tookMs: Math.round(clock.nowMs() - leftAtMs),
+    });
+  }
+
+  override stop(): Promise<void> {
+    for (const server of [this.#callers, this.#readiness]) {
+      server?.close();
+      server?.closeAllConnections();
+    }
+    return Promise.resolve();
+  }
+
+  #createCallersServer(): Server {
+    const server = createServer({
+      maxHeaderSize: parserHeaderBytes,
+      connectionsCheckingInterval: lateCheckIntervalMs,
+      headersTimeout: initialLimits.headerTimeoutMs,
+      keepAliveTimeout: initialLimits.idleTimeoutMs,
+      requestTimeout: 0,
+      noDelay: true,
+    });
+    server.on("connection", (socket: Socket) => {
+      this.#connections.set(socket, new CallerConnection(socket));
+    });
+    server.on("request", (request, response) => {
+      void this.#serve(request, response);
+    });
+    server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+      this.#refuseMalformed(error, socket);
+    });
+    return server;
+  }
+
+  /** Keeps the listener's time limits as configured. */
+  async #followLimits(services: ServiceLookup, server: Server): Promise<void> {
+    const routing = services.get(ServiceName.Routing);
+    for (;;) {
+      const { headerTimeoutMs, idleTimeoutMs } = this.#limits();
+      server.headersTimeout = headerTimeoutMs;
+      server.keepAliveTimeout = idleTimeoutMs;
+      await routing.changed.wait(neverAborted);
+    }
+  }
+
+  #limits(): CallerLimits {
+    return this.#services!.get(ServiceName.Routing).current()?.limits ??
+      initialLimits;
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const services = this.#services!;
+    const connection = this.#connections.get(request.socket)!;
+    if (connection.isClosing) return;
+    const exchange: Exchange = {
+      request,
+      response,
+      connection,
+      arrivedAtMs: services.get(ServiceName.Clock).nowMs(),
+    };
+    connection.pendingCount += 1;
+    this.#activeCount += 1;
+    response.once("close", () => {
+      connection.pendingCount -= 1;
+      this.#activeCount -= 1;
+    });
+    try {
+      await this.#answer(exchange);
+    } catch (error) {
+      services.get(ServiceName.Log).error("request failed", {
+        error: error instanceof Error ? error.stack : String(error),
+      });
+      response.destroy();
+    }
+  }
+
+  async #answer(exchange: Exchange): Promise<void> {
+    const services = this.#services!;
+    const { request, connection } = exchange;
+    const routing = services.get(ServiceName.Routing);
+    const table = routing.current();
+    const [path = "/"] = (request.url ?? "/").split("?", 1);
+    if (table === undefined) {
+      return this.#refuse(exchange, {
+        status: statusUnavailable,
+        reason: "the daemon has no configuration yet",
+        retryAfterMs: unconfiguredRetryMs,
+      });
+    }
+    const host = request.headers.host ?? "";
+    const route = routing.tryMatch(host, path);
+    if (route === undefined) {
+      return this.#refuse(exchange, {
+        status: statusNotFound,
+        reason: `no route for ${host}${path}`,
+      });
+    }
+    const refusal = this.#checkBounds(request);
+    if (refusal !== undefined) return this.#refuse(exchange, refusal);
+    const body = await readBody(request).catch(() => undefined);
+    if (connection.left.aborted) return;
+    const service = routing.chooseService(route);
+    const call = this.#createCall(exchange, { route, service, body });
+    if (call === undefined) {
+      return this.#refuse(exchange, {
+        status: statusBadRequest,
+        reason: "the request has no id, or no key where its service needs one",
+      });
+    }
+    const delivery = await services.get(ServiceName.Dispatch).deliver(call);
+    this.#logDelivery(exchange, { call, delivery });
+    this.#writeDelivery(exchange, delivery);
+  }
+
+  #checkBounds(request: IncomingMessage): Refusal | undefined {
+    const { maxHeaderBytes, maxBodyBytes } = this.#limits();
+    const headerBytes = request.rawHeaders
+      .reduce((sum, text) => sum + text.length + 2, 0);
+    if (headerBytes > maxHeaderBytes) {
+      return {
+        status: statusHeadersTooLarge,
+        reason: `the head exceeds ${maxHeaderBytes} bytes`,
+      };
+    }
+    if (Number(request.headers["content-length"] ?? 0) <= maxBodyBytes) return;
+    return {
+      status: statusTooLarge,
+      reason: `the body exceeds ${maxBodyBytes} bytes`,
+    };
+  }
+
+  #createCall(
+    { request, connection, arrivedAtMs }: Exchange,
+    { route, service, body }: {
+      readonly route: Route;
+      readonly service: string;
+      readonly body: RoutedCall["body"];
+    },
+  ): RoutedCall | undefined {
+    const services = this.#services!;
+    const protocol = services.get(ServiceName.CallerProtocol);
+    const facts = protocol.readFacts(request.headers);
+    const definition = services.get(ServiceName.Routing).current()
+      ?.services.get(service);
+    const isSharded = definition?.isSharded ?? false;
+    if (facts.requestId === undefined) return undefined;
+    if (isSharded && facts.key === undefined) return undefined;
+    return {
+      requestId: facts.requestId,
+      route,
+      service,
+      key: isSharded ? facts.key : undefined,
+      method: request.method ?? "GET",
+      path: request.url ?? "/",
+      headers: protocol.keepEndToEnd(request.rawHeaders),
+      body,
+      deadlineAtMs: arrivedAtMs +
+        Math.min(route.timeoutMs, facts.timeoutMs ?? Infinity),
+      callerLeft: connection.left,
+    };
+  }
+
+  #writeDelivery(exchange: Exchange, delivery: Delivery): void {
+    const { ending, reason, answer } = delivery;
+    switch (ending) {
+      case DeliveryEnding.Answered:
+        return this.#writeAnswer(exchange, answer!);
+      case DeliveryEnding.NotRun:
+        return this.#refuse(exchange, {
+          status: statusUnavailable,
+          reason: `not run: ${reason}`,
+          retryAfterMs: delivery.retryAfterMs ?? unconfiguredRetryMs,
+        });
+      case DeliveryEnding.Unknown:
+        return this.#refuse(exchange, {
+          status: statusBadGateway,
+          reason: `may have run: ${reason}`,
+        });
+      case DeliveryEnding.TimedOut:
+        return this.#refuse(exchange, {
+          status: statusGatewayTimeout,
+          reason: `may have run: ${reason}`,
+        });
+      case DeliveryEnding.CallerLeft:
+        return;
+      default:
+        assertNever(ending);
+    }
+  }
+
+  #writeAnswer(
+    exchange: Exchange,
+    { status, headers, body }: NonNullable<Delivery["answer"]>,
+  ): void {
+    const { response } = exchange;
+    response.sendDate = false;
+    const length = body instanceof Readable
+      ? []
+      : ["Content-Length", String(body.length)];
+    this.#markClosing(exchange);
+    response.writeHead(status, [...headers, ...length]);
+    if (!(body instanceof Readable)) return void response.end(body);
+    pipeline(body, response, (error) => {
+      if (!error) return;
+      this.#services!.get(ServiceName.Log).warn("answer broken off", {
+        reason: error.message,
+      });
+      response.destroy();
+    });
+  }
+
+  /** Answers on the daemon's own behalf. */
+  #refuse(exchange: Exchange, refusal: Refusal): void {
+    const { response, request } = exchange;
+    const body = JSON.stringify({ error: refusal.reason });
+    this.#markClosing(exchange);
+    const retryAfter = refusal.retryAfterMs === undefined
+      ? []
+      : ["Retry-After", (refusal.retryAfterMs / 1_000).toFixed(2)];
+    response.writeHead(refusal.status, [
+      "Content-Type",
+      "application/json",
+      "Content-Length",
+      String(Buffer.byteLength(body)),
+      ...retryAfter,
+    ]);
+    response.end(body);
+    request.resume();
+    this.#logRefusal(exchange, refusal);
+  }
+
+  /** While leaving, the last answer of a connection closes it. */
+  #markClosing({ response, connection }: Exchange): void {
+    if (!this.#isLeaving || !connection.mayCloseNow()) return;
+    connection.isClosing = true;
+    response.shouldKeepAlive = false;
+  }
+
+  #refuseMalformed(error: NodeJS.ErrnoException, socket: Duplex): void {
+    const connection = this.#connections.get(socket);
+    const isAnswerOwed = (connection?.pendingCount ?? 0) > 0;
+    const isMalformed = error.code?.startsWith("HPE_") ?? false;
+    if (!isMalformed || isAnswerOwed || !socket.writable) {
+      return void socket.destroy();
+    }
+    this.#services!.get(ServiceName.Log).info("request malformed", {
+      reason: error.message,
+    });
+    socket.end(
+      "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n" +
+        "Content-Length: 0\r\n\r\n",
+    );
+  }
+
+  #answerReadiness(request: IncomingMessage, response: ServerResponse): void {
+    const { readinessPath } = this.#services!.get(ServiceName.CallerProtocol);
+    const isAsked = request.url === readinessPath;
+    const status = !isAsked
+      ? statusNotFound
+      : this.#isReady()
+      ? statusOk
+      : statusUnavailable;
+    response.writeHead(status, { "Content-Length": "0" }).end();
+  }
+
+  /** Ready once every request that the configuration allows can be placed. */
+  #isReady(): boolean {
+    const services = this.#services!;
+    const table = services.get(ServiceName.Routing).current();
+    if (this.#isLeaving || table === undefined) return false;
+    if (!services.get(ServiceName.Directory).isKnown()) return false;
+    const keySpace = services.get(ServiceName.KeySpace);
+    for (const { name, isSharded } of table.services.values()) {
+      if (isSharded && !keySpace.isKnown(name)) return false;
+    }
+    return true;
+  }
+
+  #logDelivery(
+    { arrivedAtMs }: Exchange,
+    { call, delivery }: {
+      readonly call: RoutedCall;
+      readonly delivery: Delivery;
+    },
+  ): void {
+    const services = this.#services!;
+    services.get(ServiceName.Log).info("request", {
+      id: call.requestId,
+      route: call.route.name,
+      service: call.service,
+      key: call.key,
+      ending: delivery.ending,
+      reason: delivery.reason === DeliveryReason.None
+        ? undefined
+        : delivery.reason,
+      status: delivery.answer?.status,
+      server: delivery.server,
+      sends: delivery.sendCount,
+      trail: delivery.trail.length > 1 || delivery.answer === undefined
+        ? delivery.trail.join("; ")
+        : undefined,
+      tookMs: Math.round(services.get(ServiceName.Clock).nowMs() - arrivedAtMs),
+      configuration: services.get(ServiceName.Routing).current()?.version,
+      ownersVersion: call.key === undefined
+        ? undefined
+        : services.get(ServiceName.KeySpace).versionOf(call.service),
+    });
+  }
+
+  #logRefusal({ request }: Exchange, refusal: Refusal): void {
+    const facts = this.#services!.get(ServiceName.CallerProtocol)
+      .readFacts(request.headers);
+    this.#services!.get(ServiceName.Log).info("refused", {
+      id: facts.requestId,
+      status: refusal.status,
+      reason: refusal.reason,
+      retryAfterMs: refusal.retryAfterMs && Math.round(refusal.retryAfterMs),
+    });
+  }
+}
+
+/** An answer on the daemon's own behalf. */
+interface Refusal {
+  readonly status: number;
+  readonly reason: string;
+  readonly retryAfterMs?: number;
+}
+
+const neverAborted = new AbortController().signal;
+
+function listen(
+  server: Server,
+  { host, port }: { readonly host: string; readonly port: number },
+): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, () => resolve());
+  });
+}
--- /dev/null
+++ b/src/services/keyspace/followed_key_space.ts
@@ -0,0 +1,176 @@
+/** The owners of keys and the daemons, as the store's feed delivers them. */
+import type { StoredRow } from "../../host/row_store.ts";
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { ChangeSignal } from "../../streams/change_signal.ts";
+import { assertNever } from "../../types/errors.ts";
+import { followTable } from "../feeds/follow_table.ts";
+import {
+  daemonRowKey,
+  decodeJson,
+  decodeRanges,
+  encodeJson,
+  FleetRowKind,
+  fleetTable,
+  type GranterRecord,
+  type RangeRecord,
+  serviceOfKeysRow,
+  tryClassifyRow,
+} from "./fleet_rows.ts";
+import { type KeyOwnership, KeySpace, OwnershipState } from "./key_space.ts";
+
+/** A write to a slow store. */
+const joinTimeoutMs = 1_500;
+/** Pause before joining is tried again. */
+const joinRetryMs = 1_000;
+
+const unowned: KeyOwnership = {
+  state: OwnershipState.Unowned,
+  server: undefined,
+};
+
+interface ServiceOwners {
+  readonly version: number;
+  readonly ranges: readonly RangeRecord[];
+}
+
+/** Follows the fleet table. */
+export class FollowedKeySpace extends KeySpace {
+  override readonly changed = new ChangeSignal();
+  readonly #stopping = new AbortController();
+  readonly #owners = new Map<string, ServiceOwners>();
+  readonly #daemons = new Set<string>();
+  readonly #daemonId: string;
+  #granter: GranterRecord | undefined;
+  #services: ServiceLookup | undefined;
+  #task: Promise<void> = Promise.resolve();
+
+  constructor(options: { readonly daemonId: string }) {
+    super();
+    this.#daemonId = options.daemonId;
+  }
+
+  override get needs(): readonly ServiceName[] {
+    return [
+      ServiceName.Clock,
+      ServiceName.Random,
+      ServiceName.Log,
+      ServiceName.RowStore,
+    ];
+  }
+
+  override start(services: ServiceLookup): Promise<void> {
+    this.#services = services;
+    this.#task = followTable(services, {
+      table: fleetTable,
+      signal: this.#stopping.signal,
+      reader: {
+        onRows: (rows) => this.#apply(rows),
+        onChanges: (changes) => this.#apply(changes),
+      },
+    });
+    void this.#join(services);
+    return Promise.resolve();
+  }
+
+  override stop(): Promise<void> {
+    this.#stopping.abort();
+    return this.#task;
+  }
+
+  override isKnown(service: string): boolean {
+    return this.#owners.has(service);
+  }
+
+  override ownerOf(service: string, key: number): KeyOwnership {
+    const owners = this.#owners.get(service);
+    const range = owners && findRange(owners.ranges, key);
+    if (range?.target === undefined) return unowned;
+    return {
+      state: range.isServing ? OwnershipState.Owned : OwnershipState.Moving,
+      server: range.target,
+    };
+  }
+
+  override versionOf(service: string): number {
+    return this.#owners.get(service)?.version ?? 0;
+  }
+
+  override daemonCount(): number {
+    return Math.max(1, this.#daemons.size);
+  }
+
+  override granter(): GranterRecord | undefined {
+    return this.#granter;
+  }
+
+  /** Adds this daemon to the fleet; a row that exists already stays. */
+  async #join(services: ServiceLookup): Promise<void> {
+    const { signal } = this.#stopping;
+    const clock = services.get(ServiceName.Clock);
+    const key = daemonRowKey(this.#daemonId);
+    while (!signal.aborted) {
+      const joined = await services.get(ServiceName.RowStore).transact({
+        conditions: [{ table: fleetTable, key, version: 0 }],
+        writes: [{ table: fleetTable, key, value: encodeJson({}) }],
+      }, { timeoutMs: joinTimeoutMs });
+      if (joined.isOk()) return;
+      await clock.sleep(joinRetryMs, signal);
+    }
+  }
+
+  #apply(rows: readonly StoredRow[]): void {
+    for (const row of rows) {
+      try {
+        this.#applyRow(row);
+      } catch (error) {
+        this.#services!.get(ServiceName.Log)
+          .error("fleet row malformed", {
+            row: row.key,
+            reason: String(error),
+          });
+      }
+    }
+    this.changed.notify();
+  }
+
+  #applyRow(row: StoredRow): void {
+    const kind = tryClassifyRow(row.key);
+    switch (kind) {
+      case undefined:
+        return;
+      case FleetRowKind.Daemon:
+        this.#daemons.add(row.key);
+        return;
+      case FleetRowKind.Granter:
+        this.#granter = decodeJson(row) as GranterRecord;
+        return;
+      case FleetRowKind.Keys: {
+        const service = serviceOfKeysRow(row.key);
+        if (row.version <= this.versionOf(service)) return;
+        this.#owners.set(service, {
+          version: row.version,
+          ranges: decodeRanges(row),
+        });
+        return;
+      }
+      default:
+        assertNever(kind);
+    }
+  }
+}
+
+/** Finds the range of a key among ranges in order. */
+function findRange(
+  ranges: readonly RangeRecord[],
+  key: number,
+): RangeRecord | undefined {
+  let low = 0;
+  let high = ranges.length - 1;
+  while (low < high) {
+    const middle = (low + high + 1) >>> 1;
+    if (ranges[middle]!.first <= key) low = middle;
+    else high = middle - 1;
+  }
+  return ranges[low];
+}
--- /dev/null
+++ b/src/services/keyspace/granter_term.ts
@@ -0,0 +1,87 @@
+/**
+ * One term of the key granter. For each service with owned keys, one task
+ * plans moves and records them in the store; for each server, one task gives
+ * and renews its keys and takes back those that go elsewhere.
+ */
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import type { GranterLease } from "./granter_lease.ts";
+import type { LoadReport } from "./key_granter.ts";
+import { ServiceGranter } from "./service_granter.ts";
+
+/** Fences of one term; a term that needs more than this ends early. */
+const fencesPerTerm = 2 ** 20;
+
+/** Length of a hold while the store answers: outlasts the loss of the granter and the next one's start. */
+export const usualHoldMs = 6_000;
+/** Longest hold that servers accept; used while the store does not answer. */
+export const longestHoldMs = 10_000;
+
+/** Runs while the lease is held. */
+export class GranterTerm {
+  readonly #services: ServiceLookup;
+  readonly #lease: GranterLease;
+  readonly #ending = new AbortController();
+  readonly #granters = new Map<string, ServiceGranter>();
+  #fenceCount = 0;
+  #holdMs = usualHoldMs;
+
+  constructor(services: ServiceLookup, lease: GranterLease) {
+    this.#services = services;
+    this.#lease = lease;
+  }
+
+  /** Runs the tasks of all services until the term ends. */
+  async run(): Promise<void> {
+    const { signal } = this.#ending;
+    const routing = this.#services.get(ServiceName.Routing);
+    const tasks: Promise<void>[] = [];
+    while (!signal.aborted) {
+      for (const service of routing.current()?.services.values() ?? []) {
+        if (!service.isSharded || this.#granters.has(service.name)) continue;
+        const granter = new ServiceGranter(this.#services, {
+          service: service.name,
+          lease: this.#lease,
+          nextFence: () => this.#nextFence(),
+          holdMs: () => this.#holdMs,
+          signal,
+        });
+        this.#granters.set(service.name, granter);
+        tasks.push(granter.run());
+      }
+      await routing.changed.wait(signal);
+    }
+    await Promise.all(tasks);
+  }
+
+  /** Stops all tasks. */
+  end(): Promise<void> {
+    this.#ending.abort();
+    return Promise.resolve();
+  }
+
+  /** Counts requests of a daemon. */
+  addLoad(report: LoadReport): void {
+    for (const [service, counts] of Object.entries(report)) {
+      this.#granters.get(service)?.addLoad(counts);
+    }
+  }
+
+  /** The store does not answer: holds shall last as long as they may. */
+  prolongHolds(): void {
+    if (this.#holdMs === longestHoldMs) return;
+    this.#holdMs = longestHoldMs;
+    for (const granter of this.#granters.values()) granter.renewAll();
+  }
+
+  /** The store answers. */
+  noteStoreAnswer(): void {
+    this.#holdMs = usualHoldMs;
+  }
+
+  /** Rises with each call, and above all fences of earlier terms. */
+  #nextFence(): number {
+    this.#fenceCount = Math.min(this.#fenceCount + 1, fencesPerTerm - 1);
+    return this.#lease.term! * fencesPerTerm + this.#fenceCount;
+  }
+}
--- /dev/null
+++ b/src/services/keyspace/leased_key_granter.ts
@@ -0,0 +1,199 @@
+/**
+ * Competes for the lease of the key granter, and gives keys to servers while
+ * this daemon holds it.
+ */
+import { randomUUID } from "node:crypto";
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { ChangeSignal } from "../../streams/change_signal.ts";
+import { encodeJson, fleetTable, granterRowKey } from "./fleet_rows.ts";
+import { GranterLease, leaseDurationMs, LeaseState } from "./granter_lease.ts";
+import { GranterTerm } from "./granter_term.ts";
+import { KeyGranter, type LoadReport } from "./key_granter.ts";
+
+/** Time between renewals; a lease outlasts two that fail. */
+const renewIntervalMs = 900;
+/** Time before a renewal that failed is tried again. */
+const renewRetryMs = 150;
+/** Time between two looks at the lease by any daemon of the fleet. */
+const fleetPollIntervalMs = 500;
+/** Longest time between two looks by one daemon. */
+const maxPollIntervalMs = 5_000;
+/** Spread of looks by daemons that suspect the holder at the same time. */
+const suspicionSpreadMs = 100;
+
+/** Gives keys in the daemon that holds the lease. */
+export class LeasedKeyGranter extends KeyGranter {
+  /** `host:port` under which peers reach this daemon. */
+  readonly #peerAddress: string;
+  readonly #stopping = new AbortController();
+  readonly #wake = new ChangeSignal();
+  #term: GranterTerm | undefined;
+  #isSuspecting = false;
+  #task: Promise<void> = Promise.resolve();
+
+  constructor(options: { readonly peerAddress: string }) {
+    super();
+    this.#peerAddress = options.peerAddress;
+  }
+
+  override get needs(): readonly ServiceName[] {
+    return [
+      ServiceName.Clock,
+      ServiceName.Random,
+      ServiceName.Log,
+      ServiceName.RowStore,
+      ServiceName.ServerLink,
+      ServiceName.Routing,
+      ServiceName.Directory,
+      ServiceName.KeySpace,
+    ];
+  }
+
+  override start(services: ServiceLookup): Promise<void> {
+    this.#task = this.#compete(services);
+    return Promise.resolve();
+  }
+
+  override stop(): Promise<void> {
+    this.#stopping.abort();
+    return this.#task;
+  }
+
+  override async resign(): Promise<void> {
+    await this.stop();
+  }
+
+  override isActive(): boolean {
+    return this.#term !== undefined;
+  }
+
+  override addLoad(report: LoadReport): boolean {
+    this.#term?.addLoad(report);
+    return this.#term !== undefined;
+  }
+
+  override suspectHolder(): void {
+    this.#isSuspecting = true;
+    this.#wake.notify();
+  }
+
+  async #compete(services: ServiceLookup): Promise<void> {
+    const { signal } = this.#stopping;
+    const log = services.get(ServiceName.Log);
+    const lease = new GranterLease(services, { holder: randomUUID() });
+    while (!signal.aborted) {
+      await this.#waitForTurn(services);
+      if (signal.aborted) return;
+      const taken = await lease.tryTake();
+      if (taken.isErr()) {
+        log.warn("lease look failed", { error: taken.error.message });
+        continue;
+      }
+      if (taken.value !== LeaseState.Held) continue;
+      await this.#serve(services, lease);
+    }
+  }
+
+  /** Waits so long that the whole fleet looks at the lease in even steps. */
+  async #waitForTurn(services: ServiceLookup): Promise<void> {
+    const clock = services.get(ServiceName.Clock);
+    const random = services.get(ServiceName.Random);
+    const keySpace = services.get(ServiceName.KeySpace);
+    const { signal } = this.#stopping;
+    const seenCount = this.#wake.count;
+    const fleetShareMs = Math.min(
+      maxPollIntervalMs,
+      fleetPollIntervalMs * keySpace.daemonCount(),
+    );
+    const isFirst = keySpace.granter() === undefined;
+    const durationMs = isFirst
+      ? fleetPollIntervalMs * random.nextFraction()
+      : fleetShareMs * (0.5 + random.nextFraction());
+    await this.#wake.waitAtMost(clock, { durationMs, seenCount, signal });
+    if (!this.#isSuspecting) return;
+    this.#isSuspecting = false;
+    const spreadMs = suspicionSpreadMs * keySpace.daemonCount();
+    await clock.sleep(spreadMs * random.nextFraction(), signal);
+  }
+
+  /** Gives keys until the lease is lost or the daemon leaves. */
+  async #serve(services: ServiceLookup, lease: GranterLease): Promise<void> {
+    const { signal } = this.#stopping;
+    const log = services.get(ServiceName.Log);
+    const clock = services.get(ServiceName.Clock);
+    const term = new GranterTerm(services, lease);
+    log.info("key granter term begun", { term: lease.term });
+    await this.#announce(services, lease);
+    const running = term.run();
+    this.#term = term;
+    let isOver = false;
+    while (!signal.aborted && !isOver) {
+      await clock.sleep(
+        lease.isSuspicious() ? 0 : renewIntervalMs,
+        signal,
+      );
+      isOver = signal.aborted || await this.#renew(services, { lease, term });
+    }
+    this.#term = undefined;
+    await term.end();
+    await running;
+    if (signal.aborted) await lease.release();
+    log.info("key granter term ended", {
+      reason: signal.aborted ? "daemon leaves" : "lease lost",
+    });
+  }
+
+  /** Renews until it works; true when the lease is lost. */
+  async #renew(
+    services: ServiceLookup,
+    { lease, term }: {
+      readonly lease: GranterLease;
+      readonly term: GranterTerm;
+    },
+  ): Promise<boolean> {
+    const { signal } = this.#stopping;
+    const log = services.get(ServiceName.Log);
+    const clock = services.get(ServiceName.Clock);
+    while (!signal.aborted) {
+      const renewed = await lease.renew();
+      if (renewed.isErr()) {
+        term.prolongHolds();
+        log.warn("lease renewal failed", {
+          error: renewed.error.message,
+          term: lease.term,
+        });
+        if (lease.hasExpired()) return true;
+        await clock.sleep(renewRetryMs, signal);
+        continue;
+      }
+      switch (renewed.value) {
+        case LeaseState.Held:
+          term.noteStoreAnswer();
+          return false;
+        case LeaseState.Outdated:
+          continue;
+        case LeaseState.HeldByOther:
+          return true;
+      }
+    }
+    return true;
+  }
+
+  /** Tells the fleet where load reports go. */
+  async #announce(
+    services: ServiceLookup,
+    lease: GranterLease,
+  ): Promise<void> {
+    const value = encodeJson({ term: lease.term, address: this.#peerAddress });
+    const written = await lease.renew([
+      { table: fleetTable, key: granterRowKey(), value },
+    ]);
+    if (written.isErr()) {
+      services.get(ServiceName.Log).warn("granter announcement failed", {
+        error: written.error.message,
+        retryWithinMs: leaseDurationMs,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/src/services/keyspace/service_granter.ts
@@ -0,0 +1,223 @@
+/**
+ * Gives the keys of one service to its servers during one term: plans moves,
+ * records them before they take effect, and publishes them once they have.
+ */
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { ChangeSignal } from "../../streams/change_signal.ts";
+import { incarnationOf } from "../../types/routing.ts";
+import {
+  decodeRanges,
+  encodeRanges,
+  fleetTable,
+  keysRowKey,
+  type ServerRef,
+} from "./fleet_rows.ts";
+import { type GranterLease, LeaseState } from "./granter_lease.ts";
+import { longestHoldMs } from "./granter_term.ts";
+import { HolderTask } from "./holder_task.ts";
+import { KeyLoad } from "./key_load.ts";
+import { KeyRanges } from "./key_ranges.ts";
+import { planKeyMoves } from "./plan_key_moves.ts";
+
+/** Longest time between two plans. */
+const planIntervalMs = 250;
+/** Time between plans that move keys only to even the load out. */
+const balanceIntervalMs = 1_000;
+/** Grants that are answered within this time are published together. */
+const publishDelayMs = 15;
+/** Time before a call to the store that failed is tried again. */
+const storeRetryMs = 200;
+/** A whole row from a slow store. */
+const readTimeoutMs = 1_500;
+/** Servers' clocks may run this much slow. */
+export const clockDriftFactor = 1.02;
+/** Time that a grant may spend on its way. */
+export const deliverySlackMs = 150;
+
+/** What a service granter needs of its term. */
+export interface ServiceGranterOptions {
+  readonly service: string;
+  readonly lease: GranterLease;
+  readonly nextFence: () => number;
+  readonly holdMs: () => number;
+  readonly signal: AbortSignal;
+}
+
+/** Runs for one service. */
+export class ServiceGranter {
+  readonly #services: ServiceLookup;
+  readonly #options: ServiceGranterOptions;
+  readonly #changed = new ChangeSignal();
+  readonly #holders = new Map<string, HolderTask>();
+  readonly #load: KeyLoad;
+  #ranges: KeyRanges | undefined;
+  #balancedAtMs = -Infinity;
+  #recorded = "";
+
+  constructor(services: ServiceLookup, options: ServiceGranterOptions) {
+    this.#services = services;
+    this.#options = options;
+    this.#load = new KeyLoad(services.get(ServiceName.Clock).nowMs());
+  }
+
+  /** Counts requests. */
+  addLoad(counts: readonly (readonly [number, number])[]): void {
+    for (const [bucket, count] of counts) this.#load.add(bucket, count);
+  }
+
+  /** Renews every hold at once. */
+  renewAll(): void {
+    for (const holder of this.#holders.values()) holder.renewAll();
+  }
+
+  /** Runs until the term ends. */
+  async run(): Promise<void> {
+    const { signal } = this.#options;
+    const clock = this.#services.get(ServiceName.Clock);
+    const directory = this.#services.get(ServiceName.Directory);
+    this.#ranges = await this.#inherit();
+    void this.#wakeOnDirectory();
+    while (!signal.aborted) {
+      const seenCount = this.#changed.count;
+      if (directory.isKnown()) await this.#advance(this.#ranges!);
+      await this.#changed.waitAtMost(clock, {
+        durationMs: planIntervalMs,
+        seenCount,
+        signal,
+      });
+      if (!signal.aborted) await clock.sleep(publishDelayMs, signal);
+    }
+    await Promise.all([...this.#holders.values()].map((task) => task.ended));
+  }
+
+  /** Reads what earlier granters have recorded. */
+  async #inherit(): Promise<KeyRanges | undefined> {
+    const { service, nextFence, signal } = this.#options;
+    const clock = this.#services.get(ServiceName.Clock);
+    while (!signal.aborted) {
+      const answer = await this.#services.get(ServiceName.RowStore)
+        .read(fleetTable, {
+          key: keysRowKey(service),
+          timeoutMs: readTimeoutMs,
+        });
+      if (answer.isOk()) {
+        const [row] = answer.value.rows;
+        return new KeyRanges({
+          nextFence,
+          records: row === undefined ? [] : decodeRanges(row),
+          inheritedUntilMs: clock.nowMs() + longestHoldMs * clockDriftFactor +
+            deliverySlackMs,
+        });
+      }
+      await clock.sleep(storeRetryMs, signal);
+    }
+  }
+
+  async #advance(ranges: KeyRanges): Promise<void> {
+    const clock = this.#services.get(ServiceName.Clock);
+    const nowMs = clock.nowMs();
+    ranges.settle(nowMs, (server) => this.#isEnded(server));
+    this.#plan(ranges, nowMs);
+    for (const range of ranges.all) {
+      if (range.isGranted) range.isServing = true;
+    }
+    ranges.merge();
+    this.#startHolders(ranges);
+    await this.#record(ranges);
+    for (const holder of this.#holders.values()) holder.wake();
+  }
+
+  #plan(ranges: KeyRanges, nowMs: number): void {
+    const { service } = this.#options;
+    const directory = this.#services.get(ServiceName.Directory);
+    if (!this.#isDirectoryTrusted(ranges)) return;
+    const isQuiet = ranges.all.every(({ isGranted, former }) =>
+      isGranted && former.length === 0
+    );
+    const mayBalance = isQuiet &&
+      nowMs - this.#balancedAtMs >= balanceIntervalMs;
+    this.#load.decay(nowMs);
+    const moves = planKeyMoves({
+      ranges: ranges.all,
+      servers: directory.usableServers(service),
+      weights: this.#load.snapshot(),
+      mayBalance,
+    });
+    if (moves.length === 0) return;
+    if (mayBalance) this.#balancedAtMs = nowMs;
+    for (const move of moves) ranges.move(move);
+    this.#services.get(ServiceName.Log).info("keys move", {
+      service,
+      moveCount: moves.length,
+      keyCount: moves.reduce(
+        (sum, { first, last }) => sum + last - first + 1,
+        0,
+      ),
+      isBalancing: mayBalance,
+      serverCount: directory.usableServers(service).length,
+    });
+  }
+
+  /** False while servers may be missing that are about to register again. */
+  #isDirectoryTrusted(ranges: KeyRanges): boolean {
+    if (this.#services.get(ServiceName.Directory).isComplete()) return true;
+    return ranges.all.every(({ hold }) => hold === undefined);
+  }
+
+  /** Whether a server's process has ended for sure, so that it holds nothing. */
+  #isEnded(server: ServerRef): boolean {
+    const present = this.#services.get(ServiceName.Directory)
+      .tryGet(server.id);
+    return present !== undefined && present.bornAtMs > server.bornAtMs;
+  }
+
+  /** Writes the ranges when they differ from what the store has. */
+  async #record(ranges: KeyRanges): Promise<void> {
+    const { service, lease, signal } = this.#options;
+    const clock = this.#services.get(ServiceName.Clock);
+    const value = encodeRanges(ranges.toRecords());
+    const text = Buffer.from(value).toString("utf8");
+    while (!signal.aborted && text !== this.#recorded) {
+      const written = await lease.renew([
+        { table: fleetTable, key: keysRowKey(service), value },
+      ]);
+      if (written.isOk() && written.value === LeaseState.Held) {
+        this.#recorded = text;
+        for (const range of ranges.all) range.isRecorded = true;
+        return;
+      }
+      if (written.isOk() && written.value === LeaseState.HeldByOther) return;
+      await clock.sleep(storeRetryMs, signal);
+    }
+  }
+
+  #startHolders(ranges: KeyRanges): void {
+    for (const { hold, former } of ranges.all) {
+      if (hold !== undefined) this.#startHolder(ranges, hold.server);
+      for (const { server } of former) this.#startHolder(ranges, server);
+    }
+  }
+
+  #startHolder(ranges: KeyRanges, server: ServerRef): void {
+    const name = incarnationOf(server);
+    if (this.#holders.has(name)) return;
+    const holder = new HolderTask(this.#services, {
+      ...this.#options,
+      server,
+      ranges,
+      onProgress: () => this.#changed.notify(),
+    });
+    this.#holders.set(name, holder);
+    void holder.ended.then(() => this.#holders.delete(name));
+  }
+
+  async #wakeOnDirectory(): Promise<void> {
+    const { signal } = this.#options;
+    const { changed } = this.#services.get(ServiceName.Directory);
+    while (!signal.aborted) {
+      await changed.wait(signal);
+      this.#changed.notify();
+    }
+  }
+}
--- /dev/null
+++ b/src/services/routing/followed_routing.ts
@@ -0,0 +1,101 @@
+/**
+ * The configuration as the store's feed delivers it. A version is in force
+ * until a higher one was decoded, so a daemon never goes back.
+ */
+import type { StoredRow } from "../../host/row_store.ts";
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { ChangeSignal } from "../../streams/change_signal.ts";
+import type { Route, RoutingTable } from "../../types/routing.ts";
+import { followTable } from "../feeds/follow_table.ts";
+import { RouteMatcher } from "./route_matcher.ts";
+import { Routing } from "./routing.ts";
+
+/** Follows the configuration. */
+export class FollowedRouting extends Routing {
+  override readonly changed = new ChangeSignal();
+  readonly #stopping = new AbortController();
+  #services: ServiceLookup | undefined;
+  #table: RoutingTable | undefined;
+  #matcher: RouteMatcher | undefined;
+  #task: Promise<void> = Promise.resolve();
+
+  override get needs(): readonly ServiceName[] {
+    return [
+      ServiceName.Clock,
+      ServiceName.Random,
+      ServiceName.Log,
+      ServiceName.RowStore,
+      ServiceName.ControlTables,
+    ];
+  }
+
+  override start(services: ServiceLookup): Promise<void> {
+    this.#services = services;
+    const { configurationTable } = services.get(ServiceName.ControlTables);
+    this.#task = followTable(services, {
+      table: configurationTable,
+      signal: this.#stopping.signal,
+      reader: {
+        onRows: (rows) => this.#apply(rows),
+        onChanges: (changes) =>
+          this.#apply(changes.filter(({ isRemoved }) => !isRemoved)),
+      },
+    });
+    return Promise.resolve();
+  }
+
+  override stop(): Promise<void> {
+    this.#stopping.abort();
+    return this.#task;
+  }
+
+  override current(): RoutingTable | undefined {
+    return this.#table;
+  }
+
+  override tryMatch(host: string, path: string): Route | undefined {
+    return this.#matcher?.tryMatch(host, path);
+  }
+
+  override chooseService(route: Route): string {
+    return this.#matcher!.chooseService(route);
+  }
+
+  #apply(rows: readonly StoredRow[]): void {
+    const tables = this.#services!.get(ServiceName.ControlTables);
+    for (const row of rows) {
+      if (tables.isRoutingRow(row)) this.#applyRow(row);
+    }
+  }
+
+  #applyRow(row: StoredRow): void {
+    const services = this.#services!;
+    const log = services.get(ServiceName.Log);
+    const decoded = services.get(ServiceName.ControlTables)
+      .decodeRoutingTable(row);
+    if (decoded.isErr()) {
+      log.error("configuration refused", {
+        reason: decoded.error,
+        rowVersion: row.version,
+        versionInForce: this.#table?.version,
+      });
+      return;
+    }
+    const table = decoded.value;
+    const versionBefore = this.#table?.version;
+    if (versionBefore !== undefined && table.version <= versionBefore) return;
+    this.#table = table;
+    this.#matcher = new RouteMatcher(
+      table.routes,
+      services.get(ServiceName.Random),
+    );
+    log.info("configuration in force", {
+      version: table.version,
+      versionBefore,
+      routeCount: table.routes.length,
+      rowVersion: row.version,
+    });
+    this.changed.notify();
+  }
+}
