Hand answers without a length on without one

Ruled out: a reset taken for the end (logged: the socket ended in order, no error). Change: such answers end with the caller's connection; where other answers are due on it, idempotent requests are sent again.

--- a/src/host/server_link.ts
+++ b/src/host/server_link.ts
@@ -43,6 +43,8 @@
   readonly headers: readonly string[];
   /** Undefined when the answer's length is not announced. */
   readonly bodyBytes: number | undefined;
+  /** Nothing but the end of the connection tells that the body is complete. */
+  readonly endsWithConnection: boolean;
   readonly body: Readable;
 }
 
--- a/src/services/dispatch/balanced_dispatch.ts
+++ b/src/services/dispatch/balanced_dispatch.ts
@@ -374,6 +374,17 @@
     }
     try {
       const answer = await readAnswer(result.answer!);
+      if (
+        answer.endsWithConnection && isRepeatable(call) &&
+        !call.mayEndConnection()
+      ) {
+        finish();
+        return {
+          ending: SendEnding.Broken,
+          wasSent,
+          note: "an answer without a length cannot precede other answers",
+        };
+      }
       const durationMs = clock.nowMs() - sentAtMs;
       if (answer.status >= statusServerError) {
         this.#noteFailure(call, { server, figures, result });
--- a/src/services/dispatch/dispatch.ts
+++ b/src/services/dispatch/dispatch.ts
@@ -21,6 +21,8 @@
   readonly deadlineAtMs: number;
   /** Aborted when the caller has left. */
   readonly callerLeft: AbortSignal;
+  /** Whether the answer may end with the caller's connection. */
+  readonly mayEndConnection: () => boolean;
 }
 
 /** How a delivery ended. */
@@ -58,6 +60,8 @@
   readonly headers: readonly string[];
   /** The whole body, or a stream when it is too large to be kept. */
   readonly body: Uint8Array | Readable;
+  /** The backend server marked the body's end by closing the connection only. */
+  readonly endsWithConnection: boolean;
 }
 
 /** The outcome of one request. */
--- a/src/services/dispatch/read_answer.ts
+++ b/src/services/dispatch/read_answer.ts
@@ -13,8 +13,9 @@
 export async function readAnswer(
   answer: IncomingAnswer,
 ): Promise<DeliveredAnswer> {
-  const { status, headers, body } = answer;
-  if ((answer.bodyBytes ?? 0) > maxWholeBytes) return { status, headers, body };
+  const { status, headers, body, endsWithConnection } = answer;
+  const head = { status, headers, endsWithConnection };
+  if ((answer.bodyBytes ?? 0) > maxWholeBytes) return { ...head, body };
   const chunks: Uint8Array[] = [];
   let byteCount = 0;
   const iterator = body[Symbol.asyncIterator]();
@@ -25,11 +26,11 @@
     byteCount += next.value.length;
     if (byteCount > maxWholeBytes) {
       const rest = { [Symbol.asyncIterator]: () => iterator };
-      return { status, headers, body: Readable.from(join(chunks, rest)) };
+      return { ...head, body: Readable.from(join(chunks, rest)) };
     }
   }
   const whole = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-  return { status, headers, body: whole };
+  return { ...head, body: whole };
 }
 
 async function* join(
--- a/src/services/gateway/http_gateway.ts
+++ b/src/services/gateway/http_gateway.ts
@@ -16,6 +16,7 @@
 import { assertNever } from "../../types/errors.ts";
 import type { CallerLimits, Route } from "../../types/routing.ts";
 import {
+  type DeliveredAnswer,
   type Delivery,
   DeliveryEnding,
   DeliveryReason,
@@ -283,6 +284,7 @@
       deadlineAtMs: arrivedAtMs +
         Math.min(route.timeoutMs, facts.timeoutMs ?? Infinity),
       callerLeft: connection.left,
+      mayEndConnection: () => connection.mayCloseNow(),
     };
   }
 
@@ -316,14 +318,21 @@
 
   #writeAnswer(
     exchange: Exchange,
-    { status, headers, body }: NonNullable<Delivery["answer"]>,
+    { status, headers, body, endsWithConnection }: DeliveredAnswer,
   ): void {
     const { response } = exchange;
     response.sendDate = false;
-    const length = body instanceof Readable
+    const length = body instanceof Readable || endsWithConnection
       ? []
       : ["Content-Length", String(body.length)];
     this.#markClosing(exchange);
+    if (endsWithConnection) {
+      // Whoever closed the connection early, the caller must not be told that
+      // the body is complete.
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+      exchange.connection.isClosing = true;
+    }
     response.writeHead(status, [...headers, ...length]);
     if (!(body instanceof Readable)) return void response.end(body);
     pipeline(body, response, (error) => {
