Read the store in one daemon for the fleet; give busy keys to fast servers

Keys that one server cannot serve stayed where they were. Ruled out: longer waits at the store, which leave silent connections unnoticed. Change: the key granter's daemon reads the store and relays changes over the fleet link; others read it themselves when the granter cannot be reached or is behind. Shares of keys follow the servers' measured speed. Holds of lost servers are recorded by the store's clock, so a new granter need not wait them out anew. A key that waits for a lost server's hold is refused at once.

--- a/src/daemon/create_fleet_daemon.ts
+++ b/src/daemon/create_fleet_daemon.ts
@@ -5,10 +5,12 @@
 import { Kernel } from "../kernel/kernel.ts";
 import { FollowedDirectory } from "../services/directory/followed_directory.ts";
 import { BalancedDispatch } from "../services/dispatch/balanced_dispatch.ts";
+import { StoreTableFeed } from "../services/feeds/store_table_feed.ts";
+import { HttpFleetLink } from "../services/fleet/http_fleet_link.ts";
 import { HttpGateway } from "../services/gateway/http_gateway.ts";
 import { FollowedKeySpace } from "../services/keyspace/followed_key_space.ts";
 import { LeasedKeyGranter } from "../services/keyspace/leased_key_granter.ts";
-import { PeerLoadReports } from "../services/keyspace/peer_load_reports.ts";
+import { LoadCounts } from "../services/keyspace/load_counts.ts";
 import { BatchedLog } from "../services/log/batched_log.ts";
 import { FollowedRouting } from "../services/routing/followed_routing.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
@@ -32,6 +34,7 @@
   });
   for (const service of platform) kernel.register(service);
   return kernel
+    .register(new StoreTableFeed())
     .register(new FollowedRouting())
     .register(new FollowedDirectory())
     .register(new FollowedKeySpace({ daemonId: settings.daemonId }))
@@ -40,7 +43,8 @@
         peerAddress: `${peerAddress.host}:${peerAddress.port}`,
       }),
     )
-    .register(new PeerLoadReports(peerAddress))
+    .register(new LoadCounts())
+    .register(new HttpFleetLink(peerAddress))
     .register(
       new BalancedDispatch({
         zone: settings.zone,
--- a/src/kernel/service_map.ts
+++ b/src/kernel/service_map.ts
@@ -16,6 +16,8 @@
 import type { Directory } from "../services/directory/directory.ts";
 import type { Dispatch } from "../services/dispatch/dispatch.ts";
 import type { Entry } from "../services/entry/entry.ts";
+import type { TableFeed } from "../services/feeds/table_feed.ts";
+import type { FleetLink } from "../services/fleet/fleet_link.ts";
 import type { Gateway } from "../services/gateway/gateway.ts";
 import type { Home } from "../services/home/home.ts";
 import type { KeyGranter } from "../services/keyspace/key_granter.ts";
@@ -60,6 +62,8 @@
   [ServiceName.ControlTables]: ControlTables;
   [ServiceName.ServerLink]: ServerLink;
   [ServiceName.CallerProtocol]: CallerProtocol;
+  [ServiceName.TableFeed]: TableFeed;
+  [ServiceName.FleetLink]: FleetLink;
   [ServiceName.Routing]: Routing;
   [ServiceName.Directory]: Directory;
   [ServiceName.KeySpace]: KeySpace;
--- a/src/kernel/service_name.ts
+++ b/src/kernel/service_name.ts
@@ -31,6 +31,8 @@
   ControlTables = "control-tables",
   ServerLink = "server-link",
   CallerProtocol = "caller-protocol",
+  TableFeed = "table-feed",
+  FleetLink = "fleet-link",
   Routing = "routing",
   Directory = "directory",
   KeySpace = "key-space",
--- a/src/services/directory/followed_directory.ts
+++ b/src/services/directory/followed_directory.ts
@@ -8,7 +8,6 @@
 import { ServiceName } from "../../kernel/service_name.ts";
 import { ChangeSignal } from "../../streams/change_signal.ts";
 import { incarnationOf, type ServerEntry } from "../../types/routing.ts";
-import { followTable } from "../feeds/follow_table.ts";
 import { Directory } from "./directory.ts";
 
 /** Time after the store's return in which living servers register again: two seconds, and a slow call. */
@@ -34,7 +33,7 @@
       ServiceName.Clock,
       ServiceName.Random,
       ServiceName.Log,
-      ServiceName.RowStore,
+      ServiceName.TableFeed,
       ServiceName.ControlTables,
     ];
   }
@@ -42,8 +41,7 @@
   override start(services: ServiceLookup): Promise<void> {
     this.#services = services;
     const { serverTable } = services.get(ServiceName.ControlTables);
-    this.#task = followTable(services, {
-      table: serverTable,
+    this.#task = services.get(ServiceName.TableFeed).follow(serverTable, {
       signal: this.#stopping.signal,
       reader: {
         onContact: () => this.#noteContact(),
--- a/src/services/dispatch/balanced_dispatch.ts
+++ b/src/services/dispatch/balanced_dispatch.ts
@@ -32,13 +32,13 @@
 } from "./dispatch.ts";
 import { readAnswer } from "./read_answer.ts";
 import { RetryAllowance, type RetryBounds } from "./retry_allowance.ts";
-import { ServerFigures } from "./server_book.ts";
+import { FailureEvidence, ServerFigures } from "./server_book.ts";
 
 /** Part of a server's connections that the fleet uses; the rest is for orders and for daemons that join. */
 const connectionShare = 0.8;
 const minConnections = 2;
 /** Part of the objective for which a request waits for room at a server. */
-const waitShare = 0.125;
+const waitShare = 0.08;
 /** As `waitShare`, for a key that is about to be served by its next owner. */
 const movingWaitShare = 0.7;
 /** Bounds of the time after which a caller is told to come back. */
@@ -107,7 +107,8 @@
     const services = this.#services!;
     const clock = services.get(ServiceName.Clock);
     if (call.key !== undefined) {
-      services.get(ServiceName.LoadReports).note(call.service, call.key);
+      services.get(ServiceName.LoadReports)
+        .noteRequest(call.service, call.key);
     }
     this.#allowance.noteRequest(call.service, clock.nowMs());
     const trail: string[] = [];
@@ -389,10 +390,12 @@
       if (answer.status >= statusServerError) {
         this.#noteFailure(call, { server, figures, result });
       } else {
-        figures.noteAnswer(durationMs, {
-          loadAtSend,
-          slotCount: server.slotCount,
-        });
+        const { slotCount } = server;
+        figures.noteAnswer(durationMs, { loadAtSend, slotCount });
+        if (loadAtSend + 1 <= slotCount) {
+          services.get(ServiceName.LoadReports)
+            .noteWork(incarnationOf(server), durationMs);
+        }
       }
       if (answer.body instanceof Readable) answer.body.once("close", finish);
       else finish();
@@ -420,12 +423,16 @@
     // A caller that leaves says nothing about the server, nor does a refusal
     // by a server that is merely full.
     if (call.callerLeft.aborted) return;
-    const isFullServer = result.ending === SendEnding.NotRun;
-    if (isFullServer || result.ending === SendEnding.Answered) {
-      figures.failureShare += (1 - figures.failureShare) / 8;
-      return;
-    }
-    if (!figures.noteFailure()) return;
+    const isAlive = result.ending === SendEnding.NotRun ||
+      result.ending === SendEnding.Answered;
+    if (isAlive) return figures.noteRefusal();
+    // A server that no longer owns a key says nothing about its health.
+    const isMove = result.ending === SendEnding.WrongServer;
+    if (isMove && call.key !== undefined) return;
+    const evidence = result.ending === SendEnding.Cancelled
+      ? FailureEvidence.Silence
+      : FailureEvidence.Connection;
+    if (!figures.noteFailure(evidence)) return;
     this.#services!.get(ServiceName.Log).warn("server avoided", {
       server: server.id,
       peer: server.address,
--- a/src/services/dispatch/server_book.ts
+++ b/src/services/dispatch/server_book.ts
@@ -10,8 +10,16 @@
 const foreignDecayMs = 1_500;
 /** Assumed work time of a server that has not answered yet. */
 const initialServiceMs = 150;
-/** Failures in a row after which a server is avoided. */
-const failuresUntilAvoided = 2;
+/** Evidence, without an answer in between, upon which a server is avoided. */
+const evidenceUntilAvoided = 4;
+
+/** How much a failed send says against a server. */
+export enum FailureEvidence {
+  /** No answer came in time; the server may only be busy. */
+  Silence = 1,
+  /** The connection failed. */
+  Connection = 2,
+}
 
 /** One server's figures. */
 export class ServerFigures {
@@ -22,7 +30,7 @@
   failureShare = 0;
   /** Whether requests go elsewhere until a probe succeeds. */
   isAvoided = false;
-  #failuresInRow = 0;
+  #evidence = 0;
   #foreignCount = 0;
   #foreignAtMs = 0;
 
@@ -52,24 +60,27 @@
   ): void {
     const { loadAtSend, slotCount } = options;
     const turns = Math.max(1, (loadAtSend + 1) / slotCount);
-    const sample = durationMs / turns;
-    this.serviceMs += (sample - this.serviceMs) * sampleWeight;
+    this.serviceMs += (durationMs / turns - this.serviceMs) * sampleWeight;
     this.noteSuccess();
   }
 
   /** The server can be reached and works. */
   noteSuccess(): void {
-    this.#failuresInRow = 0;
+    this.#evidence = 0;
     this.failureShare -= this.failureShare * sampleWeight / 2;
   }
 
+  /** Notes that the server, though it can be reached, did not do the work. */
+  noteRefusal(): void {
+    this.#evidence = 0;
+    this.failureShare += (1 - this.failureShare) * sampleWeight / 2;
+  }
+
   /** Notes a failed send; true when the server is to be avoided from now on. */
-  noteFailure(): boolean {
-    this.#failuresInRow += 1;
+  noteFailure(evidence: FailureEvidence): boolean {
+    this.#evidence += evidence;
     this.failureShare += (1 - this.failureShare) * sampleWeight;
-    if (this.isAvoided || this.#failuresInRow < failuresUntilAvoided) {
-      return false;
-    }
+    if (this.isAvoided || this.#evidence < evidenceUntilAvoided) return false;
     this.isAvoided = true;
     return true;
   }
@@ -77,6 +88,6 @@
   /** A probe has succeeded. */
   readmit(): void {
     this.isAvoided = false;
-    this.#failuresInRow = 0;
+    this.#evidence = 0;
   }
 }
--- /dev/null
+++ b/src/services/feeds/store_table_feed.ts
@@ -0,0 +1,233 @@
+/**
+ * Feeds of the store. One task for each table reads it whole, then waits for
+ * changes, and reads it whole again when the store has dropped the history in
+ * between. The tasks rest while another daemon relays the tables.
+ */
+import { MessageCode } from "../../diagnostics/messages.ts";
+import type { RowChange, StoredRow } from "../../host/row_store.ts";
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { ChangeSignal } from "../../streams/change_signal.ts";
+import type { RouterError } from "../../types/errors.ts";
+import { TableCopy, type TableReader } from "./table_copy.ts";
+import { TableFeed, type TableUpdates } from "./table_feed.ts";
+
+/** Longest time one call waits for a change; bounds how long a silent connection stays unnoticed. */
+const followWaitMs = 4_000;
+/** As `followWaitMs`, for the daemon on which the fleet depends. */
+const relayingWaitMs = 1_000;
+/** What the store may take to answer beyond the wait, when it is slow. */
+const answerSlackMs = 600;
+/** A whole read of a table from a slow store. */
+const readTimeoutMs = 2_000;
+/** Changes within this time are fetched by one call. */
+const coalesceMs = 100;
+/** Delays between calls that fail; calls are limited for the whole fleet. */
+const firstRetryDelayMs = 50;
+const maxRetryDelayMs = 700;
+/** Without contact for this long, servers that are missing may register again. */
+const contactLossMs = 1_500;
+
+interface FollowedTable {
+  readonly table: string;
+  readonly copy: TableCopy;
+  readonly signal: AbortSignal;
+  isInContact: boolean;
+  retryDelayMs: number;
+}
+
+/** Follows tables of the store. */
+export class StoreTableFeed extends TableFeed {
+  override readonly changed = new ChangeSignal();
+  readonly #tables = new Map<string, FollowedTable>();
+  readonly #modeChanged = new ChangeSignal();
+  #services: ServiceLookup | undefined;
+  #direct = new AbortController();
+  #isRelayed = false;
+  #isRelaying = false;
+
+  override get needs(): readonly ServiceName[] {
+    return [
+      ServiceName.Clock,
+      ServiceName.Random,
+      ServiceName.Log,
+      ServiceName.RowStore,
+    ];
+  }
+
+  override start(services: ServiceLookup): Promise<void> {
+    this.#services = services;
+    return Promise.resolve();
+  }
+
+  override async follow(
+    table: string,
+    options: { readonly reader: TableReader; readonly signal: AbortSignal },
+  ): Promise<void> {
+    const { reader, signal } = options;
+    const followed: FollowedTable = {
+      table,
+      signal,
+      copy: new TableCopy(reader),
+      isInContact: false,
+      retryDelayMs: 0,
+    };
+    this.#tables.set(table, followed);
+    while (!signal.aborted) {
+      if (this.#isRelayed && followed.copy.version !== undefined) {
+        await this.#modeChanged.wait(signal);
+        continue;
+      }
+      const failure = await this.#advance(followed);
+      if (failure !== undefined) await this.#noteFailure(followed, failure);
+    }
+  }
+
+  override versions(): ReadonlyMap<string, number | undefined> {
+    return new Map(
+      [...this.#tables].map(([table, { copy }]) => [table, copy.version]),
+    );
+  }
+
+  override isFresh(ageMs: number): boolean {
+    const atLeastMs = this.#nowMs() - ageMs;
+    return [...this.#tables.values()]
+      .every(({ copy }) => copy.confirmedAtMs >= atLeastMs);
+  }
+
+  override updatesAfter(
+    versions: ReadonlyMap<string, number | undefined>,
+  ): TableUpdates {
+    return new Map(
+      [...versions].flatMap(([table, version]) => {
+        const copy = this.#tables.get(table)?.copy;
+        if (copy?.version === undefined) return [];
+        return [[table, copy.updateAfter(version)] as const];
+      }),
+    );
+  }
+
+  override applyRelayed(updates: TableUpdates): void {
+    for (const [table, update] of updates) {
+      const followed = this.#tables.get(table);
+      if (followed === undefined) continue;
+      this.#noteContact(followed);
+      followed.copy.apply(update);
+    }
+    if (updates.size > 0) this.changed.notify();
+  }
+
+  override setRelayed(isRelayed: boolean): void {
+    if (this.#isRelayed === isRelayed) return;
+    this.#isRelayed = isRelayed;
+    this.#services!.get(ServiceName.Log)
+      .info(isRelayed ? "tables relayed" : "tables read from the store");
+    if (isRelayed) {
+      this.#direct.abort();
+      this.#direct = new AbortController();
+    }
+    this.#modeChanged.notify();
+  }
+
+  override setRelaying(isRelaying: boolean): void {
+    this.#isRelaying = isRelaying;
+  }
+
+  #advance(followed: FollowedTable): Promise<RouterError | undefined> {
+    return followed.copy.version === undefined
+      ? this.#readAll(followed)
+      : this.#followOnce(followed, followed.copy.version);
+  }
+
+  async #readAll(followed: FollowedTable): Promise<RouterError | undefined> {
+    const answer = await this.#services!.get(ServiceName.RowStore)
+      .read(followed.table, { timeoutMs: readTimeoutMs });
+    if (answer.isErr()) return answer.error;
+    const { rows, version } = answer.value;
+    this.#noteContact(followed);
+    followed.copy.apply({
+      version,
+      isWhole: true,
+      changes: rows.map(toChange),
+    });
+    this.changed.notify();
+  }
+
+  async #followOnce(
+    followed: FollowedTable,
+    afterVersion: number,
+  ): Promise<RouterError | undefined> {
+    const { table, copy, signal } = followed;
+    const waitMs = this.#isRelaying ? relayingWaitMs : followWaitMs;
+    const direct = this.#direct.signal;
+    const answer = await this.#services!.get(ServiceName.RowStore)
+      .follow(table, {
+        afterVersion,
+        waitMs,
+        timeoutMs: waitMs + answerSlackMs,
+        signal: AbortSignal.any([signal, direct]),
+      });
+    if (direct.aborted) return;
+    if (answer.isErr()) return answer.error;
+    const { changes, version } = answer.value;
+    this.#noteContact(followed);
+    copy.apply({ version, isWhole: false, changes });
+    if (changes.length === 0) return;
+    this.changed.notify();
+    await this.#services!.get(ServiceName.Clock)
+      .sleep(coalesceMs, AbortSignal.any([signal, direct]));
+  }
+
+  async #noteFailure(
+    followed: FollowedTable,
+    failure: RouterError,
+  ): Promise<void> {
+    const { table, copy, signal } = followed;
+    if (signal.aborted) return;
+    const services = this.#services!;
+    const log = services.get(ServiceName.Log);
+    if (failure.code === MessageCode.StoreHistoryGone) {
+      log.info("table history gone", { table, afterVersion: copy.version });
+      const reread = await this.#readAll(followed);
+      if (reread === undefined) return;
+    }
+    if (followed.isInContact) {
+      log.warn("table feed lost", {
+        table,
+        error: failure.message,
+        version: copy.version,
+      });
+    }
+    followed.isInContact = false;
+    followed.retryDelayMs = Math.min(
+      maxRetryDelayMs,
+      Math.max(firstRetryDelayMs, followed.retryDelayMs * 2),
+    );
+    const random = services.get(ServiceName.Random).nextFraction();
+    await services.get(ServiceName.Clock)
+      .sleep(followed.retryDelayMs * (0.5 + random), signal);
+  }
+
+  #noteContact(followed: FollowedTable): void {
+    const nowMs = this.#nowMs();
+    const silentMs = nowMs - followed.copy.confirmedAtMs;
+    followed.copy.confirmedAtMs = nowMs;
+    followed.retryDelayMs = 0;
+    if (followed.isInContact) return;
+    followed.isInContact = true;
+    this.#services!.get(ServiceName.Log).info("table feed established", {
+      table: followed.table,
+      afterVersion: followed.copy.version,
+      silentMs: Number.isFinite(silentMs) ? Math.round(silentMs) : undefined,
+    });
+    if (silentMs > contactLossMs) followed.copy.reader.onContact?.();
+  }
+
+  #nowMs(): number {
+    return this.#services!.get(ServiceName.Clock).nowMs();
+  }
+}
+
+function toChange(row: StoredRow): RowChange {
+  return { ...row, isRemoved: false };
+}
--- /dev/null
+++ b/src/services/fleet/http_fleet_link.ts
@@ -0,0 +1,240 @@
+/**
+ * The fleet link over HTTP. One task asks the key granter for changes, again
+ * and again; the granter answers as soon as there is one. A daemon that cannot
+ * reach the granter, or whose granter does not reach the store, reads the
+ * store itself.
+ */
+import {
+  Agent,
+  createServer,
+  type IncomingMessage,
+  request as startRequest,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { FleetLink } from "./fleet_link.ts";
+import {
+  decodeSyncRequest,
+  decodeTableUpdates,
+  encodeSyncRequest,
+  encodeTableUpdates,
+} from "./sync_codec.ts";
+
+/** Longest time for which the granter holds a request back. */
+const syncWaitMs = 800;
+/** Longest wait for the granter's answer: what a change of configuration may be late by when the granter freezes. */
+const syncTimeoutMs = 1_300;
+/** Pause after a request that failed. */
+const syncRetryMs = 400;
+/** Changes within this time are sent together. */
+const coalesceMs = 20;
+/** Age up to which the granter's copies are good enough to be passed on. */
+const maxCopyAgeMs = 1_700;
+/** Failures in a row after which the granter is taken to be lost. */
+const failuresUntilSuspicion = 2;
+/** A request holds one entry for each busy part of the key space. */
+const maxRequestBytes = 1_048_576;
+
+const syncPath = "/sync";
+const statusOk = 200;
+const statusBadRequest = 400;
+const statusNotGranter = 409;
+const statusStale = 503;
+
+/** Links daemons over HTTP. */
+export class HttpFleetLink extends FleetLink {
+  readonly #listen: { readonly host: string; readonly port: number };
+  readonly #stopping = new AbortController();
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  #services: ServiceLookup | undefined;
+  #server: Server | undefined;
+  #failureCount = 0;
+  #task: Promise<void> = Promise.resolve();
+
+  constructor(options: { readonly host: string; readonly port: number }) {
+    super();
+    this.#listen = options;
+  }
+
+  override get needs(): readonly ServiceName[] {
+    return [
+      ServiceName.Clock,
+      ServiceName.Log,
+      ServiceName.TableFeed,
+      ServiceName.KeySpace,
+      ServiceName.KeyGranter,
+      ServiceName.LoadReports,
+    ];
+  }
+
+  override start(services: ServiceLookup): Promise<void> {
+    this.#services = services;
+    const server = createServer((request, response) => {
+      void this.#receive(request, response);
+    });
+    this.#server = server;
+    this.#task = this.#run(services);
+    return new Promise((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(this.#listen.port, this.#listen.host, () => resolve());
+    });
+  }
+
+  override async stop(): Promise<void> {
+    this.#stopping.abort();
+    this.#agent.destroy();
+    this.#server?.close();
+    this.#server?.closeAllConnections();
+    await this.#task;
+  }
+
+  async #run(services: ServiceLookup): Promise<void> {
+    const { signal } = this.#stopping;
+    const clock = services.get(ServiceName.Clock);
+    const feed = services.get(ServiceName.TableFeed);
+    const granter = services.get(ServiceName.KeyGranter);
+    const keySpace = services.get(ServiceName.KeySpace);
+    while (!signal.aborted) {
+      const holder = keySpace.granter();
+      if (granter.isActive() || holder === undefined) {
+        feed.setRelayed(false);
+        granter.addLoad(services.get(ServiceName.LoadReports).take());
+        this.#failureCount = 0;
+        await clock.sleep(syncRetryMs, signal);
+        continue;
+      }
+      const failure = await this.#sync(services, holder.address);
+      if (signal.aborted) return;
+      if (failure === undefined) {
+        this.#failureCount = 0;
+        feed.setRelayed(true);
+        await clock.sleep(coalesceMs, signal);
+        continue;
+      }
+      feed.setRelayed(false);
+      this.#noteFailure(services, { peer: holder.address, failure });
+      await clock.sleep(syncRetryMs, signal);
+    }
+  }
+
+  /** One exchange; resolves with what went wrong, if anything. */
+  async #sync(
+    services: ServiceLookup,
+    address: string,
+  ): Promise<string | undefined> {
+    const feed = services.get(ServiceName.TableFeed);
+    try {
+      const text = await this.#post(
+        address,
+        encodeSyncRequest({
+          versions: feed.versions(),
+          load: services.get(ServiceName.LoadReports).take(),
+          waitMs: syncWaitMs,
+        }),
+      );
+      feed.applyRelayed(decodeTableUpdates(text));
+    } catch (error) {
+      return (error as Error).message;
+    }
+  }
+
+  #noteFailure(
+    services: ServiceLookup,
+    { peer, failure }: { readonly peer: string; readonly failure: string },
+  ): void {
+    this.#failureCount += 1;
+    if (this.#failureCount === 1) {
+      services.get(ServiceName.Log)
+        .warn("key granter out of reach", { peer, error: failure });
+    }
+    if (this.#failureCount >= failuresUntilSuspicion) {
+      services.get(ServiceName.KeyGranter).suspectHolder();
+    }
+  }
+
+  #post(address: string, body: string): Promise<string> {
+    const [host, port] = address.split(":");
+    return new Promise((resolve, reject) => {
+      const request = startRequest({
+        agent: this.#agent,
+        host: host!,
+        port: Number(port),
+        method: "POST",
+        path: syncPath,
+        signal: AbortSignal.any([
+          this.#stopping.signal,
+          AbortSignal.timeout(syncTimeoutMs),
+        ]),
+      });
+      request.on("error", reject);
+      request.on("response", (response) => {
+        readText(response).then((text) => {
+          if (response.statusCode === statusOk) return resolve(text);
+          reject(new Error(`status ${response.statusCode}`));
+        }, reject);
+      });
+      request.end(body);
+    });
+  }
+
+  async #receive(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const services = this.#services!;
+    try {
+      const sync = decodeSyncRequest(await readText(request));
+      if (!services.get(ServiceName.KeyGranter).addLoad(sync.load)) {
+        return void response.writeHead(statusNotGranter).end();
+      }
+      const text = await this.#waitForUpdates(services, sync);
+      if (text === undefined) {
+        return void response.writeHead(statusStale).end();
+      }
+      response.writeHead(statusOk).end(text);
+    } catch (error) {
+      services.get(ServiceName.Log).warn("sync request refused", {
+        peer: request.socket.remoteAddress,
+        reason: String(error),
+      });
+      response.writeHead(statusBadRequest).end();
+    }
+  }
+
+  /** Waits for changes; undefined when this daemon's copies are too old. */
+  async #waitForUpdates(
+    services: ServiceLookup,
+    { versions, waitMs }: ReturnType<typeof decodeSyncRequest>,
+  ): Promise<string | undefined> {
+    const clock = services.get(ServiceName.Clock);
+    const feed = services.get(ServiceName.TableFeed);
+    const untilMs = clock.nowMs() + waitMs;
+    for (;;) {
+      if (!feed.isFresh(maxCopyAgeMs)) return undefined;
+      const seenCount = feed.changed.count;
+      const updates = feed.updatesAfter(versions);
+      const hasNews = [...updates.values()]
+        .some(({ isWhole, changes }) => isWhole || changes.length > 0);
+      const durationMs = untilMs - clock.nowMs();
+      if (hasNews || durationMs <= 0) return encodeTableUpdates(updates);
+      await feed.changed.waitAtMost(clock, {
+        durationMs,
+        seenCount,
+        signal: this.#stopping.signal,
+      });
+    }
+  }
+}
+
+async function readText(message: IncomingMessage): Promise<string> {
+  const chunks: Uint8Array[] = [];
+  let byteCount = 0;
+  for await (const chunk of message as AsyncIterable<Uint8Array>) {
+    byteCount += chunk.length;
+    if (byteCount > maxRequestBytes) throw new RangeError("message too large");
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString("utf8");
+}
--- a/src/services/keyspace/fleet_rows.ts
+++ b/src/services/keyspace/fleet_rows.ts
@@ -40,7 +40,14 @@
   /** The target has accepted a grant, so requests may be sent to it. */
   readonly isServing: boolean;
   /** Servers that may still hold the keys from before. */
-  readonly former: readonly ServerRef[];
+  readonly former: readonly FormerHolder[];
+}
+
+/** A server that held keys, and until when it may hold them at the most. */
+export interface FormerHolder {
+  readonly server: ServerRef;
+  /** By the store's clock. */
+  readonly endsAtStoreMs: number;
 }
 
 /** Where the key granter listens, and for which term. */
@@ -80,8 +87,9 @@
 /** The ranges as JSON: servers once, ranges by the servers' places. */
 interface WireRanges {
   readonly servers: readonly (readonly [string, number, string])[];
-  /** First key, target's place or -1, serving, former servers' places. */
-  readonly ranges: readonly (readonly [number, number, 0 | 1, number[]])[];
+  /** First key, target's place or -1, serving, former servers' places and ends. */
+  readonly ranges:
+    readonly (readonly [number, number, 0 | 1, [number, number][]])[];
 }
 
 /** Encodes ranges that cover all keys in order. */
@@ -103,7 +111,9 @@
       record.first,
       record.target === undefined ? -1 : placeOf(record.target),
       record.isServing ? 1 : 0,
-      record.former.map(placeOf),
+      record.former.map(({ server, endsAtStoreMs }) =>
+        [placeOf(server), endsAtStoreMs] as [number, number]
+      ),
     ] as const
   );
   return encodeJson({ servers, ranges } as WireRanges);
@@ -122,7 +132,10 @@
     last: (wire.ranges[i + 1]?.[0] ?? keyCount) - 1,
     target: servers[target],
     isServing: isServing === 1,
-    former: former.map((place) => servers[place]!),
+    former: former.map(([place, endsAtStoreMs]) => ({
+      server: servers[place]!,
+      endsAtStoreMs,
+    })),
   }));
 }
 
--- a/src/services/keyspace/followed_key_space.ts
+++ b/src/services/keyspace/followed_key_space.ts
@@ -4,7 +4,6 @@
 import { ServiceName } from "../../kernel/service_name.ts";
 import { ChangeSignal } from "../../streams/change_signal.ts";
 import { assertNever } from "../../types/errors.ts";
-import { followTable } from "../feeds/follow_table.ts";
 import {
   daemonRowKey,
   decodeJson,
@@ -29,9 +28,17 @@
   server: undefined,
 };
 
+/** A move that takes longer than this waits for the hold of a lost server. */
+const usualMoveMs = 300;
+
+/** A range, with the time since which it has had its state. */
+interface KnownRange extends RangeRecord {
+  readonly sinceMs: number;
+}
+
 interface ServiceOwners {
   readonly version: number;
-  readonly ranges: readonly RangeRecord[];
+  readonly ranges: readonly KnownRange[];
 }
 
 /** Follows the fleet table. */
@@ -56,13 +63,13 @@
       ServiceName.Random,
       ServiceName.Log,
       ServiceName.RowStore,
+      ServiceName.TableFeed,
     ];
   }
 
   override start(services: ServiceLookup): Promise<void> {
     this.#services = services;
-    this.#task = followTable(services, {
-      table: fleetTable,
+    this.#task = services.get(ServiceName.TableFeed).follow(fleetTable, {
       signal: this.#stopping.signal,
       reader: {
         onRows: (rows) => this.#apply(rows),
@@ -86,10 +93,12 @@
     const owners = this.#owners.get(service);
     const range = owners && findRange(owners.ranges, key);
     if (range?.target === undefined) return unowned;
-    return {
-      state: range.isServing ? OwnershipState.Owned : OwnershipState.Moving,
-      server: range.target,
-    };
+    if (range.isServing) {
+      return { state: OwnershipState.Owned, server: range.target };
+    }
+    const ageMs = this.#nowMs() - range.sinceMs;
+    if (ageMs > usualMoveMs) return unowned;
+    return { state: OwnershipState.Moving, server: range.target };
   }
 
   override versionOf(service: string): number {
@@ -134,6 +143,24 @@
     this.changed.notify();
   }
 
+  /** Adds since when each range has had its state. */
+  #stamp(service: string, records: readonly RangeRecord[]): KnownRange[] {
+    const before = this.#owners.get(service)?.ranges ?? [];
+    const nowMs = this.#nowMs();
+    return records.map((record) => {
+      const known = findRange(before, record.first);
+      const isSame = known !== undefined &&
+        known.isServing === record.isServing &&
+        known.target?.id === record.target?.id &&
+        known.target?.bornAtMs === record.target?.bornAtMs;
+      return { ...record, sinceMs: isSame ? known.sinceMs : nowMs };
+    });
+  }
+
+  #nowMs(): number {
+    return this.#services!.get(ServiceName.Clock).nowMs();
+  }
+
   #applyRow(row: StoredRow): void {
     const kind = tryClassifyRow(row.key);
     switch (kind) {
@@ -150,7 +177,7 @@
         if (row.version <= this.versionOf(service)) return;
         this.#owners.set(service, {
           version: row.version,
-          ranges: decodeRanges(row),
+          ranges: this.#stamp(service, decodeRanges(row)),
         });
         return;
       }
@@ -161,10 +188,10 @@
 }
 
 /** Finds the range of a key among ranges in order. */
-function findRange(
-  ranges: readonly RangeRecord[],
+function findRange<T extends RangeRecord>(
+  ranges: readonly T[],
   key: number,
-): RangeRecord | undefined {
+): T | undefined {
   let low = 0;
   let high = ranges.length - 1;
   while (low < high) {
--- a/src/services/keyspace/granter_lease.ts
+++ b/src/services/keyspace/granter_lease.ts
@@ -11,11 +11,11 @@
 import { decodeJson, encodeJson, leaseKey, leaseTable } from "./fleet_rows.ts";
 
 /** How long a lease lasts without a renewal; a lost holder is replaced after this. */
-export const leaseDurationMs = 3_000;
+export const leaseDurationMs = 2_500;
 /** Orders stop this long before the expiry: an order's way to a server, and clock drift. */
 const orderMarginMs = 250;
 /** Longest wait for a renewal; the lease outlasts two failed ones. */
-const callTimeoutMs = 900;
+const callTimeoutMs = 800;
 /** A jump of the time of day against the steady clock that may hide a suspension. */
 const suspicionMs = 300;
 
@@ -36,6 +36,13 @@
   HeldByOther = "held-by-other",
 }
 
+/** One reading of the store's clock, between two instants of the own one. */
+interface StoreMoment {
+  readonly sentAtMs: number;
+  readonly answeredAtMs: number;
+  readonly storeTimeMs: number;
+}
+
 /** Takes and keeps the lease of one process. */
 export class GranterLease {
   readonly #services: ServiceLookup;
@@ -45,7 +52,8 @@
   /** Orders may be given before this, by the steady clock. */
   #ordersUntilMs = -Infinity;
   #wallOffsetMs = 0;
-  #lastMoment = { sentAtMs: 0, storeTimeMs: 0 };
+  #lastMoment: StoreMoment = { sentAtMs: 0, answeredAtMs: 0, storeTimeMs: 0 };
+  #earlierExpiryStoreMs = -Infinity;
   /** Ends when the write under way has ended; two would refuse each other. */
   #writing: Promise<unknown> = Promise.resolve();
 
@@ -76,6 +84,26 @@
     return Math.abs(offsetMs - this.#wallOffsetMs) > suspicionMs;
   }
 
+  /** The latest instant at which the earlier holder may have given an order. */
+  get earlierOrdersUntilMs(): number {
+    return Math.min(
+      this.#clock.nowMs(),
+      this.toLocalTime(this.#earlierExpiryStoreMs),
+    );
+  }
+
+  /** An instant of the steady clock by the store's clock, at the latest. */
+  toStoreTime(localMs: number): number {
+    const { sentAtMs, storeTimeMs } = this.#lastMoment;
+    return Math.ceil(storeTimeMs + localMs - sentAtMs);
+  }
+
+  /** An instant of the store's clock by the steady clock, at the latest. */
+  toLocalTime(storeMs: number): number {
+    const { answeredAtMs, storeTimeMs } = this.#lastMoment;
+    return answeredAtMs + storeMs - storeTimeMs;
+  }
+
   /** Takes the lease when nobody holds it. */
   async tryTake(): Promise<Result<LeaseState, RouterError>> {
     const sentAtMs = this.#clock.nowMs();
@@ -93,7 +121,13 @@
       return ok(LeaseState.HeldByOther);
     }
     this.#rowVersion = row?.version ?? 0;
-    return await this.#write({ sentAtMs, storeTimeMs });
+    // A holder that left in order has no expiry on record; its orders may have
+    // gone out until now.
+    this.#earlierExpiryStoreMs = record === undefined
+      ? -Infinity
+      : record.expiresAtStoreMs || storeTimeMs;
+    const answeredAtMs = this.#clock.nowMs();
+    return await this.#write({ sentAtMs, answeredAtMs, storeTimeMs });
   }
 
   /** Extends the lease, together with other writes or alone. */
@@ -121,7 +155,7 @@
 
   /** Writes the row; `moment` bounds the store's clock from above. */
   async #write(
-    moment: { readonly sentAtMs: number; readonly storeTimeMs: number },
+    moment: StoreMoment,
     writes: readonly RowWrite[] = [],
   ): Promise<Result<LeaseState, RouterError>> {
     const sentAtMs = this.#clock.nowMs();
@@ -143,7 +177,11 @@
     if (!isApplied) return this.#adoptConflict(rows);
     this.#rowVersion = version;
     this.#term ??= version;
-    this.#lastMoment = { sentAtMs, storeTimeMs };
+    this.#lastMoment = {
+      sentAtMs,
+      answeredAtMs: this.#clock.nowMs(),
+      storeTimeMs,
+    };
     this.#wallOffsetMs = wallOffsetMs;
     // The store's clock stands at `storeTimeMs` at the earliest when the call
     // was sent.
--- a/src/services/keyspace/granter_term.ts
+++ b/src/services/keyspace/granter_term.ts
@@ -6,14 +6,14 @@
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import type { GranterLease } from "./granter_lease.ts";
-import type { LoadReport } from "./key_granter.ts";
+import type { LoadReport } from "./load_reports.ts";
 import { ServiceGranter } from "./service_granter.ts";
 
 /** Fences of one term; a term that needs more than this ends early. */
 const fencesPerTerm = 2 ** 20;
 
 /** Length of a hold while the store answers: outlasts the loss of the granter and the next one's start. */
-export const usualHoldMs = 6_000;
+export const usualHoldMs = 4_500;
 /** Longest hold that servers accept; used while the store does not answer. */
 export const longestHoldMs = 10_000;
 
@@ -61,10 +61,17 @@
   }
 
   /** Counts requests of a daemon. */
-  addLoad(report: LoadReport): void {
-    for (const [service, counts] of Object.entries(report)) {
+  addLoad({ keys, work }: LoadReport): void {
+    for (const [service, counts] of Object.entries(keys)) {
       this.#granters.get(service)?.addLoad(counts);
     }
+    const directory = this.#services.get(ServiceName.Directory);
+    for (const [incarnation, [count, totalMs]] of Object.entries(work)) {
+      const id = incarnation.slice(0, incarnation.lastIndexOf("@"));
+      const service = directory.tryGet(id)?.service;
+      if (service === undefined) continue;
+      this.#granters.get(service)?.addWork(incarnation, count, totalMs);
+    }
   }
 
   /** The store does not answer: holds shall last as long as they may. */
--- a/src/services/keyspace/holder_task.ts
+++ b/src/services/keyspace/holder_task.ts
@@ -26,7 +26,7 @@
 } from "./service_granter.ts";
 
 /** Time between renewals of a hold. */
-const renewIntervalMs = 1_500;
+const renewIntervalMs = 1_200;
 /** Longest wait for the answer to a grant; servers answer at once. */
 const grantTimeoutMs = 500;
 /** Longest wait for the answer to a release, which comes when the work has ended. */
--- a/src/services/keyspace/key_granter.ts
+++ b/src/services/keyspace/key_granter.ts
@@ -1,11 +1,7 @@
 /** The contract of the key granter: gives keys to servers while it holds the lease. */
 import { Service } from "../../kernel/service.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
-
-/** Requests for parts of the key space: service, bucket, count. */
-export type LoadReport = Readonly<
-  Record<string, readonly (readonly [bucket: number, count: number])[]>
->;
+import type { LoadReport } from "./load_reports.ts";
 
 /** Gives keys to servers in one daemon of the fleet. */
 export abstract class KeyGranter extends Service {
--- a/src/services/keyspace/key_load.ts
+++ b/src/services/keyspace/key_load.ts
@@ -2,7 +2,7 @@
  * How often each part of the key space is asked for. Counts decay, so that
  * the estimate follows keys that become busy within seconds.
  */
-import { keyCount } from "../../types/routing.ts";
+import { keyCount, type KeyInterval } from "../../types/routing.ts";
 
 /** Keys that are counted together; the smallest part that is moved. */
 export const keysPerBucket = 16;
@@ -94,6 +94,24 @@
     return Math.max(first, low * keysPerBucket);
   }
 
+  /** The bucket with the largest weight within the keys. */
+  heaviestBucket(first: number, last: number): KeyInterval {
+    let best = bucketOf(first);
+    for (let bucket = best + 1; bucket <= bucketOf(last); bucket++) {
+      if (this.#weightOfBucket(bucket) > this.#weightOfBucket(best)) {
+        best = bucket;
+      }
+    }
+    return {
+      first: Math.max(first, best * keysPerBucket),
+      last: Math.min(last, (best + 1) * keysPerBucket - 1),
+    };
+  }
+
+  #weightOfBucket(bucket: number): number {
+    return this.#sums[bucket + 1]! - this.#sums[bucket]!;
+  }
+
   #sumBefore(key: number): number {
     const bucket = Math.min(bucketOf(key), bucketCount - 1);
     const within = key - bucket * keysPerBucket;
--- a/src/services/keyspace/key_ranges.ts
+++ b/src/services/keyspace/key_ranges.ts
@@ -51,32 +51,36 @@
   #ranges: KeyRange[];
 
   /**
-   * Takes over the ranges of a row. Whatever an earlier granter has granted
-   * may last until `inheritedUntilMs`.
+   * Takes over the ranges of a row. What an earlier granter has granted to the
+   * targets may last until `inheritedUntilMs`.
    */
   constructor(options: {
     readonly nextFence: () => number;
     readonly records: readonly RangeRecord[];
     readonly inheritedUntilMs: number;
+    /** An instant of the store's clock by the steady clock, at the latest. */
+    readonly toLocalTime: (storeMs: number) => number;
   }) {
-    const { nextFence, records, inheritedUntilMs } = options;
+    const { nextFence, records, inheritedUntilMs, toLocalTime } = options;
     this.#nextFence = nextFence;
-    const inherit = (server: ServerRef): Hold => ({
+    const inherit = (server: ServerRef, untilMs: number): Hold => ({
       server,
-      endsAtMs: inheritedUntilMs,
-      unansweredEndsAtMs: inheritedUntilMs,
+      endsAtMs: untilMs,
+      unansweredEndsAtMs: untilMs,
       isReleased: false,
     });
     const fence = nextFence();
     this.#ranges = records.map((record) => ({
       first: record.first,
       last: record.last,
-      hold: record.target && inherit(record.target),
+      hold: record.target && inherit(record.target, inheritedUntilMs),
       fence,
       isGranted: false,
       isServing: record.isServing,
       isRecorded: true,
-      former: record.former.map(inherit),
+      former: record.former.map(({ server, endsAtStoreMs }) =>
+        inherit(server, toLocalTime(endsAtStoreMs))
+      ),
       handoverToken: undefined,
     }));
     if (this.#ranges.length === 0) this.#ranges.push(createEmptyRange(fence));
@@ -100,7 +104,7 @@
       if (range.first < first || range.last > last) return range;
       const name = incarnationOf(target);
       if (range.hold && incarnationOf(range.hold.server) === name) return range;
-      const former = range.hold === undefined
+      const former = range.hold === undefined || !wasGranted(range.hold)
         ? range.former
         : [...range.former, range.hold];
       return {
@@ -155,14 +159,17 @@
     this.#ranges = merged;
   }
 
-  /** The ranges as rows hold them. */
-  toRecords(): RangeRecord[] {
+  /** The ranges as rows hold them, with ends by the store's clock. */
+  toRecords(toStoreTime: (localMs: number) => number): RangeRecord[] {
     return this.#ranges.map(({ first, last, hold, isServing, former }) => ({
       first,
       last,
       target: hold?.server,
       isServing,
-      former: former.map(({ server }) => server),
+      former: former.map(({ server, endsAtMs }) => ({
+        server,
+        endsAtStoreMs: toStoreTime(endsAtMs),
+      })),
     }));
   }
 
@@ -188,6 +195,11 @@
   return range.hold !== undefined && range.former.length === 0;
 }
 
+/** Whether any grant was sent. */
+function wasGranted(hold: Hold): boolean {
+  return hold.endsAtMs > -Infinity;
+}
+
 function isHoldOver(hold: Hold, nowMs: number): boolean {
   if (nowMs >= hold.endsAtMs) return true;
   return hold.isReleased && nowMs >= hold.unansweredEndsAtMs;
--- a/src/services/keyspace/leased_key_granter.ts
+++ b/src/services/keyspace/leased_key_granter.ts
@@ -9,10 +9,13 @@
 import { encodeJson, fleetTable, granterRowKey } from "./fleet_rows.ts";
 import { GranterLease, leaseDurationMs, LeaseState } from "./granter_lease.ts";
 import { GranterTerm } from "./granter_term.ts";
-import { KeyGranter, type LoadReport } from "./key_granter.ts";
+import { KeyGranter } from "./key_granter.ts";
+import type { LoadReport } from "./load_reports.ts";
 
 /** Time between renewals; a lease outlasts two that fail. */
-const renewIntervalMs = 900;
+const renewIntervalMs = 750;
+/** A renewal that takes longer than this may be the start of an outage. */
+const slowRenewalMs = 350;
 /** Time before a renewal that failed is tried again. */
 const renewRetryMs = 150;
 /** Time between two looks at the lease by any daemon of the fleet. */
@@ -43,6 +46,7 @@
       ServiceName.Random,
       ServiceName.Log,
       ServiceName.RowStore,
+      ServiceName.TableFeed,
       ServiceName.ServerLink,
       ServiceName.Routing,
       ServiceName.Directory,
@@ -127,6 +131,7 @@
     await this.#announce(services, lease);
     const running = term.run();
     this.#term = term;
+    services.get(ServiceName.TableFeed).setRelaying(true);
     let isOver = false;
     while (!signal.aborted && !isOver) {
       await clock.sleep(
@@ -136,6 +141,7 @@
       isOver = signal.aborted || await this.#renew(services, { lease, term });
     }
     this.#term = undefined;
+    services.get(ServiceName.TableFeed).setRelaying(false);
     await term.end();
     await running;
     if (signal.aborted) await lease.release();
@@ -156,7 +162,12 @@
     const log = services.get(ServiceName.Log);
     const clock = services.get(ServiceName.Clock);
     while (!signal.aborted) {
+      const cancelTimer = clock.after(
+        slowRenewalMs,
+        () => term.prolongHolds(),
+      );
       const renewed = await lease.renew();
+      cancelTimer();
       if (renewed.isErr()) {
         term.prolongHolds();
         log.warn("lease renewal failed", {
--- a/src/services/keyspace/plan_key_moves.ts
+++ b/src/services/keyspace/plan_key_moves.ts
@@ -22,6 +22,8 @@
 const orphanPartsPerShare = 2;
 /** Moves of one plan, beside those of keys without an owner. */
 const maxBalancingMoves = 12;
+/** How much faster a server must be for keys to move to it that cannot be divided. */
+const fasterFactor = 1.25;
 /** A part may weigh this much more than wanted. */
 const oversizeFactor = 1.4;
 /** Parts lighter than this share of what is wanted aren't worth a move. */
@@ -40,12 +42,14 @@
   readonly ranges: readonly KeyRange[];
   readonly servers: readonly ServerEntry[];
   readonly weights: KeyWeights;
+  /** How fast a server works, relative to the others. */
+  readonly speedOf: (incarnation: string) => number;
   /** False while earlier moves are under way. */
   readonly mayBalance: boolean;
 }): KeyMove[] {
   const { ranges, servers, weights, mayBalance } = options;
   if (servers.length === 0) return [];
-  const candidates = createCandidates(servers, weights);
+  const candidates = createCandidates(options);
   const orphans: KeyInterval[] = [];
   for (const range of ranges) {
     const owner = range.hold &&
@@ -63,11 +67,14 @@
   return moves;
 }
 
-function createCandidates(
-  servers: readonly ServerEntry[],
-  weights: KeyWeights,
-): Map<string, Candidate> {
-  const slotCount = servers.reduce((sum, server) => sum + server.slotCount, 0);
+function createCandidates({ servers, weights, speedOf }: {
+  readonly servers: readonly ServerEntry[];
+  readonly weights: KeyWeights;
+  readonly speedOf: (incarnation: string) => number;
+}): Map<string, Candidate> {
+  const capacityOf = (server: ServerEntry) =>
+    server.slotCount * speedOf(incarnationOf(server));
+  const total = servers.reduce((sum, server) => sum + capacityOf(server), 0);
   return new Map(
     servers.map((server) => [incarnationOf(server), {
       server: {
@@ -75,7 +82,7 @@
         bornAtMs: server.bornAtMs,
         address: server.address,
       },
-      share: weights.total * server.slotCount / slotCount,
+      share: weights.total * capacityOf(server) / total,
       load: 0,
       parts: [],
     }]),
@@ -107,8 +114,9 @@
   weights: KeyWeights,
 ): KeyMove[] {
   const moves: KeyMove[] = [];
-  while (moves.length < maxBalancingMoves) {
-    const giver = findMostLoaded(candidates);
+  const givers = [...candidates];
+  while (moves.length < maxBalancingMoves && givers.length > 0) {
+    const giver = findMostLoaded(givers);
     const taker = findLeastLoaded(candidates);
     const limit = giver.share * overloadFactor +
       significance * Math.sqrt(giver.share);
@@ -119,7 +127,12 @@
       taker.share - taker.load,
     );
     const part = tryCutPart(giver, wanted, weights);
-    if (part === undefined) break;
+    if (part === undefined) {
+      const move = tryMoveHeavyBucket(giver, candidates, weights);
+      if (move !== undefined) moves.push(move);
+      givers.splice(givers.indexOf(giver), 1);
+      continue;
+    }
     const weight = weights.weightOf(part.first, part.last);
     removePart(giver, part);
     giver.load -= weight;
@@ -130,6 +143,25 @@
   return moves;
 }
 
+/**
+ * Keys that are busier than their owner can serve cannot be divided; the
+ * fastest server serves most of their requests.
+ */
+function tryMoveHeavyBucket(
+  giver: Candidate,
+  candidates: readonly Candidate[],
+  weights: KeyWeights,
+): KeyMove | undefined {
+  const fastest = candidates.reduce((a, b) => b.share > a.share ? b : a);
+  if (fastest.share < giver.share * fasterFactor) return undefined;
+  for (const { first, last } of giver.parts) {
+    const bucket = weights.heaviestBucket(first, last);
+    const weight = weights.weightOf(bucket.first, bucket.last);
+    if (weight <= giver.share) continue;
+    return { ...bucket, target: fastest.server };
+  }
+}
+
 /** The part at an end of one of the giver's ranges that moves the fewest keys. */
 function tryCutPart(
   giver: Candidate,
@@ -146,7 +178,7 @@
     for (const part of options) {
       const weight = weights.weightOf(part.first, part.last);
       if (weight > wanted * oversizeFactor) continue;
-      if (weight < wanted * undersizeFactor) continue;
+      if (weight < Math.min(wanted, giver.share) * undersizeFactor) continue;
       const density = weight / (part.last - part.first + 1);
       if (density <= bestDensity) continue;
       best = part;
--- a/src/services/keyspace/service_granter.ts
+++ b/src/services/keyspace/service_granter.ts
@@ -19,6 +19,7 @@
 import { KeyLoad } from "./key_load.ts";
 import { KeyRanges } from "./key_ranges.ts";
 import { planKeyMoves } from "./plan_key_moves.ts";
+import { ServerSpeeds } from "./server_speeds.ts";
 
 /** Longest time between two plans. */
 const planIntervalMs = 250;
@@ -51,6 +52,7 @@
   readonly #changed = new ChangeSignal();
   readonly #holders = new Map<string, HolderTask>();
   readonly #load: KeyLoad;
+  readonly #speeds: ServerSpeeds;
   #ranges: KeyRanges | undefined;
   #balancedAtMs = -Infinity;
   #recorded = "";
@@ -58,7 +60,9 @@
   constructor(services: ServiceLookup, options: ServiceGranterOptions) {
     this.#services = services;
     this.#options = options;
-    this.#load = new KeyLoad(services.get(ServiceName.Clock).nowMs());
+    const nowMs = services.get(ServiceName.Clock).nowMs();
+    this.#load = new KeyLoad(nowMs);
+    this.#speeds = new ServerSpeeds(nowMs);
   }
 
   /** Counts requests. */
@@ -66,6 +70,11 @@
     for (const [bucket, count] of counts) this.#load.add(bucket, count);
   }
 
+  /** Counts answers of a server. */
+  addWork(incarnation: string, count: number, totalMs: number): void {
+    this.#speeds.add(incarnation, count, totalMs);
+  }
+
   /** Renews every hold at once. */
   renewAll(): void {
     for (const holder of this.#holders.values()) holder.renewAll();
@@ -93,7 +102,7 @@
 
   /** Reads what earlier granters have recorded. */
   async #inherit(): Promise<KeyRanges | undefined> {
-    const { service, nextFence, signal } = this.#options;
+    const { service, lease, nextFence, signal } = this.#options;
     const clock = this.#services.get(ServiceName.Clock);
     while (!signal.aborted) {
       const answer = await this.#services.get(ServiceName.RowStore)
@@ -106,8 +115,9 @@
         return new KeyRanges({
           nextFence,
           records: row === undefined ? [] : decodeRanges(row),
-          inheritedUntilMs: clock.nowMs() + longestHoldMs * clockDriftFactor +
-            deliverySlackMs,
+          inheritedUntilMs: lease.earlierOrdersUntilMs +
+            longestHoldMs * clockDriftFactor + deliverySlackMs,
+          toLocalTime: (storeMs) => lease.toLocalTime(storeMs),
         });
       }
       await clock.sleep(storeRetryMs, signal);
@@ -138,9 +148,11 @@
     const mayBalance = isQuiet &&
       nowMs - this.#balancedAtMs >= balanceIntervalMs;
     this.#load.decay(nowMs);
+    this.#speeds.decay(nowMs);
     const moves = planKeyMoves({
       ranges: ranges.all,
       servers: directory.usableServers(service),
+      speedOf: (incarnation) => this.#speeds.speedOf(incarnation),
       weights: this.#load.snapshot(),
       mayBalance,
     });
@@ -176,8 +188,12 @@
   async #record(ranges: KeyRanges): Promise<void> {
     const { service, lease, signal } = this.#options;
     const clock = this.#services.get(ServiceName.Clock);
-    const value = encodeRanges(ranges.toRecords());
-    const text = Buffer.from(value).toString("utf8");
+    const value = encodeRanges(
+      ranges.toRecords((localMs) => lease.toStoreTime(localMs)),
+    );
+    // The store's clock is read anew with each call, so equal ends differ by a
+    // few milliseconds: compared are the holders.
+    const text = JSON.stringify(ranges.toRecords(() => 0));
     while (!signal.aborted && text !== this.#recorded) {
       const written = await lease.renew([
         { table: fleetTable, key: keysRowKey(service), value },
--- a/src/services/routing/followed_routing.ts
+++ b/src/services/routing/followed_routing.ts
@@ -7,7 +7,6 @@
 import { ServiceName } from "../../kernel/service_name.ts";
 import { ChangeSignal } from "../../streams/change_signal.ts";
 import type { Route, RoutingTable } from "../../types/routing.ts";
-import { followTable } from "../feeds/follow_table.ts";
 import { RouteMatcher } from "./route_matcher.ts";
 import { Routing } from "./routing.ts";
 
@@ -25,7 +24,7 @@
       ServiceName.Clock,
       ServiceName.Random,
       ServiceName.Log,
-      ServiceName.RowStore,
+      ServiceName.TableFeed,
       ServiceName.ControlTables,
     ];
   }
@@ -33,15 +32,17 @@
   override start(services: ServiceLookup): Promise<void> {
     this.#services = services;
     const { configurationTable } = services.get(ServiceName.ControlTables);
-    this.#task = followTable(services, {
-      table: configurationTable,
-      signal: this.#stopping.signal,
-      reader: {
-        onRows: (rows) => this.#apply(rows),
-        onChanges: (changes) =>
-          this.#apply(changes.filter(({ isRemoved }) => !isRemoved)),
+    this.#task = services.get(ServiceName.TableFeed).follow(
+      configurationTable,
+      {
+        signal: this.#stopping.signal,
+        reader: {
+          onRows: (rows) => this.#apply(rows),
+          onChanges: (changes) =>
+            this.#apply(changes.filter(({ isRemoved }) => !isRemoved)),
+        },
       },
-    });
+    );
     return Promise.resolve();
   }
 
