--- a/src/daemon/create_fleet_daemon.ts
+++ b/src/daemon/create_fleet_daemon.ts
@@ -12,6 +12,7 @@
 import { LeasedKeyGranter } from "../services/keyspace/leased_key_granter.ts";
 import { LoadCounts } from "../services/keyspace/load_counts.ts";
 import { BatchedLog } from "../services/log/batched_log.ts";
+import type { Log } from "../services/log/log.ts";
 import { FollowedRouting } from "../services/routing/followed_routing.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
 
@@ -20,13 +21,16 @@
 /** Backend servers close idle connections after ten seconds or more. */
 const idleTimeoutMs = 4_000;
 
-/** Creates a daemon that is not started yet. */
-export function createFleetDaemon(settings: FleetSettings): Kernel {
+/** Creates a daemon that is not started yet; it logs to standard output. */
+export function createFleetDaemon(
+  settings: FleetSettings,
+  log: Log = new BatchedLog({ daemonId: settings.daemonId }),
+): Kernel {
   const { peerAddress } = settings;
   const kernel = new Kernel()
     .register(new SystemClock())
     .register(new SystemRandomSource())
-    .register(new BatchedLog({ daemonId: settings.daemonId }));
+    .register(log);
   const platform = createPlatform({
     storeAddress: settings.storeAddress,
     connectTimeoutMs,
--- a/src/services/dispatch/balanced_dispatch.ts
+++ b/src/services/dispatch/balanced_dispatch.ts
@@ -33,6 +33,7 @@
 import { readAnswer } from "./read_answer.ts";
 import { RetryAllowance, type RetryBounds } from "./retry_allowance.ts";
 import { FailureEvidence, ServerFigures } from "./server_book.ts";
+import { createStopController } from "../../streams/stop_controller.ts";
 
 /** Part of a server's connections that the fleet uses; the rest is for orders and for daemons that join. */
 const connectionShare = 0.8;
@@ -68,7 +69,7 @@
   readonly #allowance: RetryAllowance;
   readonly #figures = new Map<string, ServerFigures>();
   readonly #roomChanged = new ChangeSignal();
-  readonly #stopping = new AbortController();
+  readonly #stopping = createStopController();
   readonly #priorities = new Map<string, number>();
   #prioritiesOf: RoutingTable | undefined;
   #services: ServiceLookup | undefined;
--- /dev/null
+++ b/src/services/dispatch/retry_allowance_test.ts
@@ -0,0 +1,58 @@
+import * as assert from "uvu/assert";
+import { describe, it } from "../../testing/describe.ts";
+import { RetryAllowance } from "./retry_allowance.ts";
+
+const bounds = { windowMs: 10_000, ratio: 0.2, extraCount: 56 };
+
+function spendAll(
+  allowance: RetryAllowance,
+  options: { readonly nowMs: number; readonly daemonCount: number },
+): number {
+  let count = 0;
+  while (allowance.trySpend("s", options)) count += 1;
+  return count;
+}
+
+describe("RetryAllowance", () => {
+  it("keeps a fleet without requests within the fixed part", () => {
+    const daemonCount = 8;
+    const total = Array.from(
+      { length: daemonCount },
+      () => spendAll(new RetryAllowance(bounds), { nowMs: 0, daemonCount }),
+    )
+      .reduce((sum, count) => sum + count, 0);
+    assert.ok(total > 0);
+    assert.ok(total <= bounds.extraCount);
+  });
+
+  it("earns repeats with requests", () => {
+    const allowance = new RetryAllowance(bounds);
+    for (let i = 0; i < 500; i++) allowance.noteRequest("s", 0);
+    const count = spendAll(allowance, { nowMs: 0, daemonCount: 8 });
+    assert.ok(count > 50);
+    assert.ok(count <= 500 * bounds.ratio + bounds.extraCount / 8);
+  });
+
+  it("holds over any window", () => {
+    const allowance = new RetryAllowance(bounds);
+    const spentAtMs: number[] = [];
+    for (let nowMs = 0; nowMs < 60_000; nowMs += 100) {
+      for (let i = 0; i < 5; i++) allowance.noteRequest("s", nowMs);
+      while (allowance.trySpend("s", { nowMs, daemonCount: 1 })) {
+        spentAtMs.push(nowMs);
+      }
+    }
+    for (let startMs = 0; startMs < 50_000; startMs += 500) {
+      const count = spentAtMs.filter((atMs) =>
+        startMs <= atMs && atMs < startMs + bounds.windowMs
+      ).length;
+      assert.ok(count <= 500 * bounds.ratio + bounds.extraCount, `${count}`);
+    }
+  });
+
+  it("counts services apart", () => {
+    const allowance = new RetryAllowance(bounds);
+    spendAll(allowance, { nowMs: 0, daemonCount: 1 });
+    assert.ok(allowance.trySpend("other", { nowMs: 0, daemonCount: 1 }));
+  });
+});
--- a/src/services/feeds/store_table_feed.ts
+++ b/src/services/feeds/store_table_feed.ts
@@ -11,6 +11,7 @@
 import type { RouterError } from "../../types/errors.ts";
 import { TableCopy, type TableReader } from "./table_copy.ts";
 import { TableFeed, type TableUpdates } from "./table_feed.ts";
+import { createStopController } from "../../streams/stop_controller.ts";
 
 /** Longest time one call waits for a change; bounds how long a silent connection stays unnoticed. */
 const followWaitMs = 4_000;
@@ -42,7 +43,7 @@
   readonly #tables = new Map<string, FollowedTable>();
   readonly #modeChanged = new ChangeSignal();
   #services: ServiceLookup | undefined;
-  #direct = new AbortController();
+  #direct = createStopController();
   #isRelayed = false;
   #isRelaying = false;
 
@@ -124,7 +125,7 @@
       .info(isRelayed ? "tables relayed" : "tables read from the store");
     if (isRelayed) {
       this.#direct.abort();
-      this.#direct = new AbortController();
+      this.#direct = createStopController();
     }
     this.#modeChanged.notify();
   }
--- a/src/services/fleet/http_fleet_link.ts
+++ b/src/services/fleet/http_fleet_link.ts
@@ -21,6 +21,7 @@
   encodeSyncRequest,
   encodeTableUpdates,
 } from "./sync_codec.ts";
+import { createStopController } from "../../streams/stop_controller.ts";
 
 /** Longest time for which the granter holds a request back. */
 const syncWaitMs = 800;
@@ -46,7 +47,7 @@
 /** Links daemons over HTTP. */
 export class HttpFleetLink extends FleetLink {
   readonly #listen: { readonly host: string; readonly port: number };
-  readonly #stopping = new AbortController();
+  readonly #stopping = createStopController();
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 1 });
   #services: ServiceLookup | undefined;
   #server: Server | undefined;
--- a/src/services/gateway/caller_connection.ts
+++ b/src/services/gateway/caller_connection.ts
@@ -3,14 +3,16 @@
  * earlier ones are answered, so a connection is only closed behind the last.
  */
 import type { Socket } from "node:net";
+import { createStopController } from "../../streams/stop_controller.ts";
 
 /** One caller's connection. */
 export class CallerConnection {
-  /** Requests that were read and not yet answered. */
+  /** Requests whose answers are not on their way yet. */
   pendingCount = 0;
   /** An answer has told the caller that the connection closes. */
   isClosing = false;
-  readonly #left = new AbortController();
+  #newest = 0;
+  readonly #left = createStopController();
 
   constructor(socket: Socket) {
     socket.once("close", () => this.#left.abort());
@@ -22,11 +24,17 @@
     return this.#left.signal;
   }
 
+  /** Numbers a request in the order of reading. */
+  admit(): number {
+    this.pendingCount += 1;
+    return ++this.#newest;
+  }
+
   /**
-   * Whether the next answer shall close the connection: only when no other
-   * request on it waits for an answer.
+   * Whether the answer to a request may close the connection: only that to the
+   * newest, since answers go out in the order of the requests.
    */
-  mayCloseNow(): boolean {
-    return this.pendingCount <= 1;
+  mayCloseBehind(place: number): boolean {
+    return place === this.#newest;
   }
 }
--- a/src/services/gateway/http_gateway.ts
+++ b/src/services/gateway/http_gateway.ts
@@ -66,6 +66,8 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly connection: CallerConnection;
+  /** The request's place among those of its connection. */
+  readonly place: number;
   readonly arrivedAtMs: number;
 }
 
@@ -73,6 +75,7 @@
 export class HttpGateway extends Gateway {
   readonly #options: HttpGatewayOptions;
   readonly #connections = new WeakMap<Duplex, CallerConnection>();
+  readonly #stopping = new AbortController();
   #services: ServiceLookup | undefined;
   #callers: Server | undefined;
   #readiness: Server | undefined;
@@ -128,6 +131,7 @@
   }
 
   override stop(): Promise<void> {
+    this.#stopping.abort();
     for (const server of [this.#callers, this.#readiness]) {
       server?.close();
       server?.closeAllConnections();
@@ -159,11 +163,12 @@
   /** Keeps the listener's time limits as configured. */
   async #followLimits(services: ServiceLookup, server: Server): Promise<void> {
     const routing = services.get(ServiceName.Routing);
-    for (;;) {
+    const { signal } = this.#stopping;
+    while (!signal.aborted) {
       const { headerTimeoutMs, idleTimeoutMs } = this.#limits();
       server.headersTimeout = headerTimeoutMs;
       server.keepAliveTimeout = idleTimeoutMs;
-      await routing.changed.wait(neverAborted);
+      await routing.changed.wait(signal);
     }
   }
 
@@ -183,9 +188,9 @@
       request,
       response,
       connection,
+      place: connection.admit(),
       arrivedAtMs: services.get(ServiceName.Clock).nowMs(),
     };
-    connection.pendingCount += 1;
     this.#activeCount += 1;
     response.once("close", () => {
       connection.pendingCount -= 1;
@@ -257,7 +262,7 @@
   }
 
   #createCall(
-    { request, connection, arrivedAtMs }: Exchange,
+    { request, connection, place, arrivedAtMs }: Exchange,
     { route, service, body }: {
       readonly route: Route;
       readonly service: string;
@@ -284,7 +289,7 @@
       deadlineAtMs: arrivedAtMs +
         Math.min(route.timeoutMs, facts.timeoutMs ?? Infinity),
       callerLeft: connection.left,
-      mayEndConnection: () => connection.mayCloseNow(),
+      mayEndConnection: () => connection.mayCloseBehind(place),
     };
   }
 
@@ -365,8 +370,8 @@
   }
 
   /** While leaving, the last answer of a connection closes it. */
-  #markClosing({ response, connection }: Exchange): void {
-    if (!this.#isLeaving || !connection.mayCloseNow()) return;
+  #markClosing({ response, connection, place }: Exchange): void {
+    if (!this.#isLeaving || !connection.mayCloseBehind(place)) return;
     connection.isClosing = true;
     response.shouldKeepAlive = false;
   }
@@ -461,8 +466,6 @@
   readonly retryAfterMs?: number;
 }
 
-const neverAborted = new AbortController().signal;
-
 function listen(
   server: Server,
   { host, port }: { readonly host: string; readonly port: number },
--- a/src/services/keyspace/granter_term.ts
+++ b/src/services/keyspace/granter_term.ts
@@ -8,6 +8,7 @@
 import type { GranterLease } from "./granter_lease.ts";
 import type { LoadReport } from "./load_reports.ts";
 import { ServiceGranter } from "./service_granter.ts";
+import { createStopController } from "../../streams/stop_controller.ts";
 
 /** Fences of one term; a term that needs more than this ends early. */
 const fencesPerTerm = 2 ** 20;
@@ -21,7 +22,7 @@
 export class GranterTerm {
   readonly #services: ServiceLookup;
   readonly #lease: GranterLease;
-  readonly #ending = new AbortController();
+  readonly #ending = createStopController();
   readonly #granters = new Map<string, ServiceGranter>();
   #fenceCount = 0;
   #holdMs = usualHoldMs;
--- a/src/testing/fake_key_servers.ts
+++ b/src/testing/fake_key_servers.ts
@@ -33,14 +33,17 @@
   isCutOff = false;
   readonly held = new Map<number, HeldKey>();
   readonly #seenFences = new Map<number, number>();
+  readonly #keys: readonly number[];
 
-  constructor(entry: ServerEntry) {
+  /** `keys` are those that the server keeps track of. */
+  constructor(entry: ServerEntry, keys: readonly number[] = sampledKeys) {
     this.entry = entry;
+    this.#keys = keys;
   }
 
   /** Carries a grant out; its time counts from its arrival. */
   accept(grant: KeyGrant, untilMs: number): boolean {
-    const keys = keysOf(grant);
+    const keys = this.#select(grant);
     const isStale = keys.some((key) =>
       (this.#seenFences.get(key) ?? 0) > grant.fence
     );
@@ -54,7 +57,11 @@
 
   /** Drops keys; never refused. */
   release(interval: KeyInterval): void {
-    for (const key of keysOf(interval)) this.held.delete(key);
+    for (const key of this.#select(interval)) this.held.delete(key);
+  }
+
+  #select({ first, last }: KeyInterval): number[] {
+    return this.#keys.filter((key) => first <= key && key <= last);
   }
 
   /** Whether the server would run a request for the key. */
--- /dev/null
+++ b/standins/fleet/row_store_standin.ts
@@ -0,0 +1,149 @@
+/** The platform's row store in small, over HTTP, with faults to order. */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { text } from "node:stream/consumers";
+import { setTimeout as delay } from "node:timers/promises";
+import type { StoredRow } from "../../src/host/row_store.ts";
+import { SystemClock } from "../../src/host/system_clock.ts";
+import { FakeRows } from "../../src/testing/fake_row_store.ts";
+
+const statusOk = 200;
+const statusDown = 503;
+const statusNotFound = 404;
+const statusGone = 410;
+const statusConflict = 412;
+
+/** What the store does wrong. */
+export interface StoreFault {
+  readonly isDown: boolean;
+  readonly delayMs: number;
+  /** Share of the transactions whose answer is lost. */
+  readonly lostShare: number;
+}
+
+interface WireCondition {
+  readonly table: string;
+  readonly key: string;
+  readonly obj_version: number;
+}
+
+interface WirePut {
+  readonly table: string;
+  readonly key: string;
+  readonly value: string;
+}
+
+/** One stand-in. */
+export class RowStoreStandin {
+  readonly rows = new FakeRows(new SystemClock());
+  readonly server: Server;
+  fault: StoreFault = { isDown: false, delayMs: 0, lostShare: 0 };
+
+  constructor() {
+    this.server = createServer((request, response) => {
+      this.#handle(request, response).catch(() => response.destroy());
+    });
+  }
+
+  async #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(request.url ?? "/", "http://store");
+    const body = await text(request);
+    const { isDown, delayMs } = this.fault;
+    if (delayMs > 0) await delay(delayMs);
+    if (isDown) return void response.writeHead(statusDown).end();
+    const name = `${request.method} ${url.pathname}`;
+    switch (name) {
+      case "GET /api/rows-get":
+        return this.#answer(response, statusOk, {
+          rows: this.#select(url.searchParams).map(encodeRow),
+        });
+      case "GET /api/rows-feed":
+        return await this.#feed(response, url.searchParams);
+      case "POST /api/rows-tx":
+        return this.#transact(response, body);
+      default:
+        return void response.writeHead(statusNotFound).end();
+    }
+  }
+
+  #select(query: URLSearchParams): StoredRow[] {
+    const from = query.get("from") ?? "";
+    const limit = Number(query.get("limit") ?? 500);
+    return this.rows.rowsOf(query.get("table") ?? "")
+      .filter(({ key }) => key >= from)
+      .slice(0, limit);
+  }
+
+  async #feed(response: ServerResponse, query: URLSearchParams): Promise<void> {
+    const table = query.get("table") ?? "";
+    const after = Number(query.get("after"));
+    const untilMs = Date.now() + Number(query.get("wait_ms"));
+    for (;;) {
+      const changes = this.rows.changesAfter(table, after);
+      if (changes === undefined) {
+        return void response.writeHead(statusGone).end();
+      }
+      const durationMs = untilMs - Date.now();
+      if (changes.length > 0 || durationMs <= 0 || response.destroyed) {
+        const rows = changes.map((change) => ({
+          ...encodeRow(change),
+          ...(change.isRemoved ? { is_gone: true } : {}),
+        }));
+        return this.#answer(response, statusOk, { rows });
+      }
+      await this.rows.changed.waitAtMost(this.rows.clock, {
+        durationMs,
+        seenCount: this.rows.changed.count,
+        signal: AbortSignal.timeout(durationMs),
+      });
+    }
+  }
+
+  #transact(response: ServerResponse, body: string): void {
+    const { precondition, put } = JSON.parse(body) as {
+      readonly precondition: readonly WireCondition[];
+      readonly put: readonly WirePut[];
+    };
+    const answer = this.rows.apply({
+      conditions: precondition.map((condition) => ({
+        ...condition,
+        version: condition.obj_version,
+      })),
+      writes: put.map(({ table, key, value }) => ({
+        table,
+        key,
+        value: Buffer.from(value, "base64"),
+      })),
+    });
+    if (Math.random() < this.fault.lostShare) return void response.destroy();
+    const status = answer.isApplied ? statusOk : statusConflict;
+    this.#answer(response, status, { rows: answer.rows.map(encodeRow) });
+  }
+
+  #answer(response: ServerResponse, status: number, fields: object): void {
+    response.writeHead(status, { "content-type": "application/json" });
+    response.end(JSON.stringify({
+      has_more: false,
+      ...fields,
+      obj_version: this.rows.version,
+      now_ms: Math.round(performance.now()),
+    }));
+  }
+}
+
+function encodeRow({ table, key, value, version }: StoredRow) {
+  return {
+    table,
+    part: "",
+    key,
+    value: Buffer.from(value).toString("base64"),
+    obj_version: version,
+  };
+}
--- /dev/null
+++ b/standins/fleet/small_fleet.ts
@@ -0,0 +1,193 @@
+/**
+ * A deployment in small on loopback: a row store, backend servers of two
+ * services and daemons, all in this process and over real sockets.
+ */
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createFleetDaemon } from "../../src/daemon/create_fleet_daemon.ts";
+import type { FleetSettings } from "../../src/daemon/fleet_settings.ts";
+import type { Kernel } from "../../src/kernel/kernel.ts";
+import { SilentLog } from "../../src/testing/silent_log.ts";
+import type { ServerEntry } from "../../src/types/routing.ts";
+import { KeyServerStandin } from "./key_server_standin.ts";
+import { RowStoreStandin } from "./row_store_standin.ts";
+
+/** The services of the small deployment. */
+export enum SmallService {
+  /** Keys have owners. */
+  Roster = "roster",
+  /** Any server may run a request. */
+  Pay = "pay",
+}
+
+const host = "127.0.0.1";
+const retryWindowMs = 10_000;
+
+/** A daemon with the ports it listens on. */
+export interface SmallDaemon {
+  readonly kernel: Kernel;
+  readonly log: SilentLog;
+  readonly callersPort: number;
+  readonly readinessPort: number;
+}
+
+/** The deployment. */
+export class SmallFleet {
+  readonly store = new RowStoreStandin();
+  readonly servers: KeyServerStandin[] = [];
+  readonly daemons: SmallDaemon[] = [];
+  #storeAddress = "";
+  #version = 1;
+
+  /** Starts the store and writes the first configuration. */
+  async start(): Promise<void> {
+    this.#storeAddress = `${host}:${await listen(this.store.server)}`;
+    this.configure();
+  }
+
+  /** Writes the next version of the configuration, with more routes if wanted. */
+  configure(morePrefixes: readonly string[] = []): void {
+    const routes = [
+      ["reads", "/roster/", "safe", SmallService.Roster],
+      ["confirms", "/pay/", "unsafe", SmallService.Pay],
+      ...morePrefixes.map((prefix) =>
+        [prefix, prefix, "safe", SmallService.Pay] as const
+      ),
+    ];
+    this.#version += 1;
+    const configuration = {
+      version: `r${this.#version}`,
+      routes: {
+        columns: [
+          "name",
+          "host",
+          "prefix",
+          "kind",
+          "timeout_ms",
+          "slo_ms",
+          "priority",
+          "split",
+          "attempts",
+          "service",
+        ],
+        rows: routes.map(([name, prefix, kind, service]) => [
+          name,
+          "app.example",
+          prefix,
+          kind,
+          1_500,
+          500,
+          1,
+          null,
+          2,
+          service,
+        ]),
+      },
+      services: {
+        columns: ["name", "health_path", "max_conns", "sharded"],
+        rows: [
+          [SmallService.Roster, "/healthz", 100, true],
+          [SmallService.Pay, "/healthz", 100, null],
+        ],
+      },
+      limits: {
+        header_bytes: 16_384,
+        body_bytes: 1_000_000,
+        header_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+      },
+    };
+    this.store.rows.put(
+      "op",
+      "config",
+      Buffer.from(JSON.stringify(configuration)),
+    );
+  }
+
+  /** Starts a backend server and registers it. */
+  async addServer(
+    service: SmallService,
+    options: { readonly workMs: number },
+  ): Promise<KeyServerStandin> {
+    const id = `i-${this.servers.length + 1}`;
+    const base: ServerEntry = {
+      id,
+      bornAtMs: Date.now(),
+      service,
+      address: "",
+      zone: "zone-a",
+      slotCount: 3,
+      isDraining: false,
+    };
+    const standin = new KeyServerStandin(base, {
+      workMs: options.workMs,
+      isSharded: service === SmallService.Roster,
+    });
+    const port = await listen(standin.server);
+    this.servers.push(standin);
+    const entry = {
+      addr: `${host}:${port}`,
+      born: base.bornAtMs,
+      info: { service, version: "v1", zone: base.zone, slots: base.slotCount },
+      status: { state: "ready", seq: 1, cold_left_ms: 0 },
+    };
+    this.store.rows.put("servers", id, Buffer.from(JSON.stringify(entry)));
+    return standin;
+  }
+
+  /** Starts a daemon. */
+  async addDaemon(): Promise<SmallDaemon> {
+    const [callersPort, readinessPort, peerPort] = await findFreePorts(3);
+    const settings: FleetSettings = {
+      daemonId: `daemon-${this.daemons.length + 1}`,
+      zone: "zone-a",
+      callersAddress: { host, port: callersPort! },
+      readinessAddress: { host, port: readinessPort! },
+      storeAddress: this.#storeAddress,
+      peerAddress: { host, port: peerPort! },
+      metricsPort: undefined,
+      graceMs: 4_000,
+      retryRatio: 0.2,
+      retryWindowMs,
+      retryExtraCount: 56,
+    };
+    const log = new SilentLog();
+    const kernel = createFleetDaemon(settings, log);
+    await kernel.start();
+    const daemon = {
+      kernel,
+      log,
+      callersPort: callersPort!,
+      readinessPort: readinessPort!,
+    };
+    this.daemons.push(daemon);
+    return daemon;
+  }
+
+  /** Stops everything. */
+  async stop(): Promise<void> {
+    await Promise.all(this.daemons.map(({ kernel }) => kernel.stop()));
+    for (const { server } of [this.store, ...this.servers]) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+}
+
+function listen(server: Server): Promise<number> {
+  return new Promise((resolve) =>
+    server.listen(0, host, () => {
+      resolve((server.address() as AddressInfo).port);
+    })
+  );
+}
+
+/** Ports that were free a moment ago. */
+async function findFreePorts(count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const ports = await Promise.all(servers.map(listen));
+  await Promise.all(
+    servers.map((server) => new Promise((resolve) => server.close(resolve))),
+  );
+  return ports;
+}
