--- a/src/daemon/create_fleet_daemon.ts
+++ b/src/daemon/create_fleet_daemon.ts
@@ -13,6 +13,8 @@
 import { LoadCounts } from "../services/keyspace/load_counts.ts";
 import { BatchedLog } from "../services/log/batched_log.ts";
 import type { Log } from "../services/log/log.ts";
+import { MetricsListener } from "../services/metrics/metrics_listener.ts";
+import { StatsdMetrics } from "../services/metrics/statsd_metrics.ts";
 import { FollowedRouting } from "../services/routing/followed_routing.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
 
@@ -30,7 +32,13 @@
   const kernel = new Kernel()
     .register(new SystemClock())
     .register(new SystemRandomSource())
-    .register(log);
+    .register(log)
+    .register(
+      new StatsdMetrics({ address: undefined, daemonId: settings.daemonId }),
+    );
+  if (settings.metricsAddress !== undefined) {
+    kernel.register(new MetricsListener(settings.metricsAddress));
+  }
   const platform = createPlatform({
     storeAddress: settings.storeAddress,
     connectTimeoutMs,
--- a/src/daemon/fleet_main.ts
+++ b/src/daemon/fleet_main.ts
@@ -77,4 +77,4 @@
   });
 }
 
-process.exit(await main());
+void main().then((exitCode) => process.exit(exitCode));
--- a/src/daemon/fleet_settings.ts
+++ b/src/daemon/fleet_settings.ts
@@ -25,8 +25,8 @@
   readonly storeAddress: string;
   /** Where peers connect. */
   readonly peerAddress: SocketAddress;
-  /** Counters and histograms; undefined when they are not served. */
-  readonly metricsPort: number | undefined;
+  /** Where counters and histograms are served; undefined when they are not. */
+  readonly metricsAddress: SocketAddress | undefined;
   /** Time from the stop signal to the end of the process. */
   readonly graceMs: number;
   /** Repeats for each request, in the whole fleet. */
@@ -37,9 +37,8 @@
 }
 
 const msPerSecond = 1_000;
-/** Places in the range of ports that are free for the daemons. */
+/** Place in the range of ports that are free for the daemons. */
 const peerPortPlace = 0;
-const metricsPortPlace = 1;
 
 /** Reads and checks the file; the error names the field and what is allowed. */
 export function readFleetSettings(
@@ -72,9 +71,9 @@
     readinessAddress: readAddress(file, "readinessAddress"),
     storeAddress: readText(file, "storeAddress"),
     peerAddress: { host, port: ports[peerPortPlace] },
-    metricsPort: ports[0] + metricsPortPlace <= ports[1]
-      ? ports[0] + metricsPortPlace
-      : undefined,
+    metricsAddress: file.metricsAddress === undefined
+      ? undefined
+      : readAddress(file, "metricsAddress"),
     graceMs: readNumber(file, "graceSeconds") * msPerSecond,
     retryRatio: readNumber(file, "retryRatio"),
     retryWindowMs: readNumber(file, "retryWindowSeconds") * msPerSecond,
--- a/src/kernel/service_map.ts
+++ b/src/kernel/service_map.ts
@@ -28,6 +28,7 @@
 import type { Log } from "../services/log/log.ts";
 import type { Membership } from "../services/membership/membership.ts";
 import type { Metrics } from "../services/metrics/metrics.ts";
+import type { MetricsListener } from "../services/metrics/metrics_listener.ts";
 import type { Operator } from "../services/operator/operator.ts";
 import type { Ownership } from "../services/ownership/ownership.ts";
 import type { PeerServer } from "../services/peers/peer_server.ts";
@@ -71,4 +72,5 @@
   [ServiceName.LoadReports]: LoadReports;
   [ServiceName.Dispatch]: Dispatch;
   [ServiceName.Gateway]: Gateway;
+  [ServiceName.MetricsListener]: MetricsListener;
 }
--- a/src/kernel/service_name.ts
+++ b/src/kernel/service_name.ts
@@ -40,4 +40,5 @@
   LoadReports = "load-reports",
   Dispatch = "dispatch",
   Gateway = "gateway",
+  MetricsListener = "metrics-listener",
 }
--- a/src/services/dispatch/balanced_dispatch.ts
+++ b/src/services/dispatch/balanced_dispatch.ts
@@ -30,6 +30,7 @@
   Dispatch,
   type RoutedCall,
 } from "./dispatch.ts";
+import { CounterName } from "../metrics/metrics.ts";
 import { readAnswer } from "./read_answer.ts";
 import { RetryAllowance, type RetryBounds } from "./retry_allowance.ts";
 import { FailureEvidence, ServerFigures } from "./server_book.ts";
@@ -85,6 +86,7 @@
       ServiceName.Clock,
       ServiceName.Random,
       ServiceName.Log,
+      ServiceName.Metrics,
       ServiceName.ServerLink,
       ServiceName.Routing,
       ServiceName.Directory,
@@ -146,12 +148,15 @@
         return giveUp(acquired.reason, acquired.retryAfterMs);
       }
       if (sendCount > 0 && !this.#trySpendRepeat(call)) {
+        services.get(ServiceName.Metrics)
+          .count(CounterName.RetryBudgetRefusals, call.service);
         return giveUp(DeliveryReason.RetryBudget);
       }
       const { choice } = acquired;
       server = choice.server.id;
       const attempt = await this.#attempt(call, choice);
       trail.push(`${server} ${attempt.note}`);
+      this.#countAttempt(attempt, sendCount);
       if (attempt.wasSent) {
         sendCount += 1;
         tried.add(server);
@@ -198,6 +203,12 @@
     }
   }
 
+  #countAttempt({ ending, wasSent }: Attempt, earlierCount: number): void {
+    const metrics = this.#services!.get(ServiceName.Metrics);
+    if (wasSent) metrics.count(CounterName.AttemptsSent, ending);
+    if (wasSent && earlierCount > 0) metrics.count(CounterName.AttemptsRetried);
+  }
+
   #trySpendRepeat({ service }: RoutedCall): boolean {
     const services = this.#services!;
     return this.#allowance.trySpend(service, {
@@ -458,6 +469,7 @@
       const path = services.get(ServiceName.Routing).current()
         ?.services.get(server.service)?.healthPath;
       if (path === undefined) return;
+      services.get(ServiceName.Metrics).count(CounterName.ProbesSent);
       const probe = await services.get(ServiceName.ServerLink)
         .probe(server, { path, timeoutMs: probeTimeoutMs });
       if (!probe.isHealthy) continue;
--- a/src/services/feeds/store_table_feed.ts
+++ b/src/services/feeds/store_table_feed.ts
@@ -9,6 +9,7 @@
 import { ServiceName } from "../../kernel/service_name.ts";
 import { ChangeSignal } from "../../streams/change_signal.ts";
 import type { RouterError } from "../../types/errors.ts";
+import { CounterName } from "../metrics/metrics.ts";
 import { TableCopy, type TableReader } from "./table_copy.ts";
 import { TableFeed, type TableUpdates } from "./table_feed.ts";
 import { createStopController } from "../../streams/stop_controller.ts";
@@ -52,6 +53,7 @@
       ServiceName.Clock,
       ServiceName.Random,
       ServiceName.Log,
+      ServiceName.Metrics,
       ServiceName.RowStore,
     ];
   }
@@ -135,6 +137,8 @@
   }
 
   #advance(followed: FollowedTable): Promise<RouterError | undefined> {
+    this.#services!.get(ServiceName.Metrics)
+      .count(CounterName.PlatformReads, followed.table);
     return followed.copy.version === undefined
       ? this.#readAll(followed)
       : this.#followOnce(followed, followed.copy.version);
@@ -186,6 +190,8 @@
     const { table, copy, signal } = followed;
     if (signal.aborted) return;
     const services = this.#services!;
+    services.get(ServiceName.Metrics)
+      .count(CounterName.PlatformErrors, failure.code);
     const log = services.get(ServiceName.Log);
     if (failure.code === MessageCode.StoreHistoryGone) {
       log.info("table history gone", { table, afterVersion: copy.version });
--- a/src/services/gateway/http_gateway.ts
+++ b/src/services/gateway/http_gateway.ts
@@ -14,7 +14,12 @@
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import { assertNever } from "../../types/errors.ts";
-import type { CallerLimits, Route } from "../../types/routing.ts";
+import { RequestClass } from "../../types/enums.ts";
+import {
+  type CallerLimits,
+  RequestKind,
+  type Route,
+} from "../../types/routing.ts";
 import {
   type DeliveredAnswer,
   type Delivery,
@@ -22,6 +27,7 @@
   DeliveryReason,
   type RoutedCall,
 } from "../dispatch/dispatch.ts";
+import { CounterName, TimingName } from "../metrics/metrics.ts";
 import { CallerConnection } from "./caller_connection.ts";
 import { Gateway } from "./gateway.ts";
 import { readBody } from "./read_body.ts";
@@ -91,6 +97,7 @@
     return [
       ServiceName.Clock,
       ServiceName.Log,
+      ServiceName.Metrics,
       ServiceName.CallerProtocol,
       ServiceName.Routing,
       ServiceName.Directory,
@@ -192,6 +199,7 @@
       arrivedAtMs: services.get(ServiceName.Clock).nowMs(),
     };
     this.#activeCount += 1;
+    services.get(ServiceName.Metrics).count(CounterName.RequestsReceived);
     response.once("close", () => {
       connection.pendingCount -= 1;
       this.#activeCount -= 1;
@@ -297,22 +305,27 @@
     const { ending, reason, answer } = delivery;
     switch (ending) {
       case DeliveryEnding.Answered:
+        this.#services!.get(ServiceName.Metrics)
+          .count(CounterName.RequestsAnswered);
         return this.#writeAnswer(exchange, answer!);
       case DeliveryEnding.NotRun:
         return this.#refuse(exchange, {
           status: statusUnavailable,
           reason: `not run: ${reason}`,
+          cause: reason,
           retryAfterMs: delivery.retryAfterMs ?? unconfiguredRetryMs,
         });
       case DeliveryEnding.Unknown:
         return this.#refuse(exchange, {
           status: statusBadGateway,
           reason: `may have run: ${reason}`,
+          cause: reason,
         });
       case DeliveryEnding.TimedOut:
         return this.#refuse(exchange, {
           status: statusGatewayTimeout,
           reason: `may have run: ${reason}`,
+          cause: reason,
         });
       case DeliveryEnding.CallerLeft:
         return;
@@ -352,6 +365,11 @@
   /** Answers on the daemon's own behalf. */
   #refuse(exchange: Exchange, refusal: Refusal): void {
     const { response, request } = exchange;
+    this.#services!.get(ServiceName.Metrics)
+      .count(
+        CounterName.RequestsRefused,
+        refusal.cause ?? `status ${refusal.status}`,
+      );
     const body = JSON.stringify({ error: refusal.reason });
     this.#markClosing(exchange);
     const retryAfter = refusal.retryAfterMs === undefined
@@ -424,6 +442,11 @@
     },
   ): void {
     const services = this.#services!;
+    const tookMs = services.get(ServiceName.Clock).nowMs() - arrivedAtMs;
+    services.get(ServiceName.Metrics).record(TimingName.Total, tookMs, {
+      customer: call.service,
+      requestClass: classOf(call.route.kind),
+    });
     services.get(ServiceName.Log).info("request", {
       id: call.requestId,
       route: call.route.name,
@@ -439,7 +462,7 @@
       trail: delivery.trail.length > 1 || delivery.answer === undefined
         ? delivery.trail.join("; ")
         : undefined,
-      tookMs: Math.round(services.get(ServiceName.Clock).nowMs() - arrivedAtMs),
+      tookMs: Math.round(tookMs),
       configuration: services.get(ServiceName.Routing).current()?.version,
       ownersVersion: call.key === undefined
         ? undefined
@@ -463,9 +486,25 @@
 interface Refusal {
   readonly status: number;
   readonly reason: string;
+  /** One of a few causes, for the counter; the status when omitted. */
+  readonly cause?: string;
   readonly retryAfterMs?: number;
 }
 
+/** The class under which a kind of request is measured. */
+function classOf(kind: RequestKind): RequestClass {
+  switch (kind) {
+    case RequestKind.NonIdempotent:
+      return RequestClass.Confirmation;
+    case RequestKind.Idempotent:
+      return RequestClass.LiveRead;
+    case RequestKind.Download:
+      return RequestClass.Archive;
+    default:
+      assertNever(kind);
+  }
+}
+
 function listen(
   server: Server,
   { host, port }: { readonly host: string; readonly port: number },
--- a/src/services/keyspace/granter_term.ts
+++ b/src/services/keyspace/granter_term.ts
@@ -15,8 +15,8 @@
 
 /** Length of a hold while the store answers: outlasts the loss of the granter and the next one's start. */
 export const usualHoldMs = 4_500;
-/** Longest hold that servers accept; used while the store does not answer. */
-export const longestHoldMs = 10_000;
+/** Length of a hold while the store does not answer: outlasts an outage of eight seconds, below what servers accept. */
+export const longestHoldMs = 8_000;
 
 /** Runs while the lease is held. */
 export class GranterTerm {
--- a/src/services/keyspace/leased_key_granter.ts
+++ b/src/services/keyspace/leased_key_granter.ts
@@ -6,6 +6,7 @@
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import { ChangeSignal } from "../../streams/change_signal.ts";
+import { CounterName } from "../metrics/metrics.ts";
 import { encodeJson, fleetTable, granterRowKey } from "./fleet_rows.ts";
 import { GranterLease, leaseDurationMs, LeaseState } from "./granter_lease.ts";
 import { GranterTerm } from "./granter_term.ts";
@@ -45,6 +46,7 @@
       ServiceName.Clock,
       ServiceName.Random,
       ServiceName.Log,
+      ServiceName.Metrics,
       ServiceName.RowStore,
       ServiceName.TableFeed,
       ServiceName.ServerLink,
@@ -128,6 +130,7 @@
     const clock = services.get(ServiceName.Clock);
     const term = new GranterTerm(services, lease);
     log.info("key granter term begun", { term: lease.term });
+    services.get(ServiceName.Metrics).count(CounterName.CoordinatorTakeovers);
     await this.#announce(services, lease);
     const running = term.run();
     this.#term = term;
--- a/src/services/keyspace/service_granter.ts
+++ b/src/services/keyspace/service_granter.ts
@@ -6,6 +6,7 @@
 import { ServiceName } from "../../kernel/service_name.ts";
 import { ChangeSignal } from "../../streams/change_signal.ts";
 import { incarnationOf } from "../../types/routing.ts";
+import { CounterName } from "../metrics/metrics.ts";
 import {
   decodeRanges,
   encodeRanges,
@@ -159,6 +160,8 @@
     if (moves.length === 0) return;
     if (mayBalance) this.#balancedAtMs = nowMs;
     for (const move of moves) ranges.move(move);
+    this.#services.get(ServiceName.Metrics)
+      .count(CounterName.MovesStarted, service, moves.length);
     this.#services.get(ServiceName.Log).info("keys move", {
       service,
       moveCount: moves.length,
--- a/src/testing/granter_fleet.ts
+++ b/src/testing/granter_fleet.ts
@@ -10,6 +10,7 @@
 import { StoreTableFeed } from "../services/feeds/store_table_feed.ts";
 import { FollowedKeySpace } from "../services/keyspace/followed_key_space.ts";
 import { LeasedKeyGranter } from "../services/keyspace/leased_key_granter.ts";
+import { StatsdMetrics } from "../services/metrics/statsd_metrics.ts";
 import { FollowedRouting } from "../services/routing/followed_routing.ts";
 import type { RoutingTable, ServerEntry } from "../types/routing.ts";
 import {
@@ -60,6 +61,7 @@
       .register(clock)
       .register(new SeededRandomSource(this.random.nextInt(1 << 30)))
       .register(log)
+      .register(new StatsdMetrics({ address: undefined, daemonId: id }))
       .register(new FakeRowStore(this.rows, { daemonId: id, clock }))
       .register(new FakeControlTables())
       .register(new FakeServerLink(this.servers))
--- a/standins/fleet/small_fleet.ts
+++ b/standins/fleet/small_fleet.ts
@@ -145,7 +145,7 @@
       readinessAddress: { host, port: readinessPort! },
       storeAddress: this.#storeAddress,
       peerAddress: { host, port: peerPort! },
-      metricsPort: undefined,
+      metricsAddress: undefined,
       graceMs: 4_000,
       retryRatio: 0.2,
       retryWindowMs,
