Keep time limits from being collected; close connections only when their answers are out

Node may collect AbortSignal.any over AbortSignal.timeout before it fires. Ruled out: a stale relay (the daemon's log shows the request open until the kernel's own time-out); the grace time (2.9 of 6 s had passed). Change: LimitedSignal holds its timer and its parents; the gateway closes idle connections itself.

--- a/src/daemon/fleet_daemon_test.ts
+++ b/src/daemon/fleet_daemon_test.ts
@@ -225,9 +225,48 @@
       await leaving;
       await fleet.stop();
     });
+
+    it("sends large answers to slow callers to their end", async () => {
+      const fleet = await startFleet(1);
+      const [daemon] = fleet.daemons as [SmallDaemon];
+      const paddingBytes = 900_000;
+      for (const server of fleet.servers) server.paddingBytes = paddingBytes;
+      const leaving = daemon.kernel.get(ServiceName.Gateway).leave();
+      await delay(2_500);
+      const byteCount = await readSlowly(daemon, {
+        requestCount: 16,
+        pauseMs: 1_000,
+      });
+      assert.ok(byteCount > 16 * paddingBytes, `${byteCount} bytes`);
+      await leaving;
+      await fleet.stop();
+    });
   });
 });
 
+/** Starts to read answers after a pause; resolves with their length. */
+function readSlowly(
+  daemon: SmallDaemon,
+  options: { readonly requestCount: number; readonly pauseMs: number },
+): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const socket = connect(daemon.callersPort, "127.0.0.1");
+    let byteCount = 0;
+    socket.pause();
+    socket.on("data", (chunk) => byteCount += chunk.length);
+    socket.on("error", reject);
+    socket.on("close", () => resolve(byteCount));
+    for (let i = 0; i < options.requestCount; i++) {
+      socket.write(
+        "GET /roster/large HTTP/1.1\r\nHost: app.example\r\n" +
+          `X-Request-Id: slow${i}\r\nX-Timeout-Ms: 2000\r\n` +
+          `X-Shard-Key: ${i * 4_000}\r\n\r\n`,
+      );
+    }
+    setTimeout(() => socket.resume(), options.pauseMs);
+  });
+}
+
 /** Sends requests behind each other on one connection; resolves with all bytes. */
 function pipeline(daemon: SmallDaemon, count: number): Promise<string> {
   return new Promise((resolve, reject) => {
--- a/src/services/dispatch/balanced_dispatch.ts
+++ b/src/services/dispatch/balanced_dispatch.ts
@@ -62,7 +62,12 @@
 /** A server for the next send, or why there is none. */
 type Acquired =
   | { readonly choice: Choice }
-  | { readonly reason: DeliveryReason; readonly retryAfterMs: number };
+  | {
+    readonly reason: DeliveryReason;
+    readonly retryAfterMs: number;
+    /** The figures that decided, for the log. */
+    readonly detail?: string;
+  };
 
 /** Sends requests to backend servers. */
 export class BalancedDispatch extends Dispatch {
@@ -145,6 +150,7 @@
         return end(DeliveryEnding.CallerLeft, DeliveryReason.None);
       }
       if (!("choice" in acquired)) {
+        if (acquired.detail !== undefined) trail.push(acquired.detail);
         return giveUp(acquired.reason, acquired.retryAfterMs);
       }
       if (sendCount > 0 && !this.#trySpendRepeat(call)) {
@@ -261,13 +267,18 @@
       .filter(({ server, figures }) =>
         !figures.isAvoided && !tried.has(server.id)
       );
-    if (choices.length === 0) return this.#refuse(DeliveryReason.NoServer);
+    if (choices.length === 0) {
+      const detail = `${servers.length} servers, ${tried.size} tried`;
+      return this.#refuse(DeliveryReason.NoServer, { detail });
+    }
     const choice = tryChooseServer(choices, {
       ...this.#contextOf(call),
       random: services.get(ServiceName.Random),
     });
     return choice === undefined
-      ? this.#refuse(DeliveryReason.Overloaded)
+      ? this.#refuse(DeliveryReason.Overloaded, {
+        detail: `all ${choices.length} servers full`,
+      })
       : { choice };
   }
 
@@ -279,27 +290,54 @@
       return this.#refuse(DeliveryReason.KeyMoving);
     }
     if (owner.server === undefined) {
-      return this.#refuse(DeliveryReason.KeyUnowned, unownedComeBackMs);
+      return this.#refuse(DeliveryReason.KeyUnowned, {
+        bounds: unownedComeBackMs,
+      });
     }
     const { id, bornAtMs } = owner.server;
     const server = services.get(ServiceName.Directory).tryGet(id);
     if (server === undefined || server.bornAtMs !== bornAtMs) {
-      return this.#refuse(DeliveryReason.KeyUnowned, unownedComeBackMs);
+      return this.#refuse(DeliveryReason.KeyUnowned, {
+        bounds: unownedComeBackMs,
+        detail: `owner ${id} is gone`,
+      });
     }
     if (server.isDraining || tried.has(id)) {
-      return this.#refuse(DeliveryReason.KeyMoving);
+      return this.#refuse(DeliveryReason.KeyMoving, {
+        detail: `owner ${id} ${server.isDraining ? "drains" : "was tried"}`,
+      });
     }
     const choice = { server, figures: this.#figuresOf(server) };
     if (choice.figures.isAvoided) {
-      return this.#refuse(DeliveryReason.OwnerUnreachable, unownedComeBackMs);
+      return this.#refuse(DeliveryReason.OwnerUnreachable, {
+        bounds: unownedComeBackMs,
+        detail: `owner ${id} is avoided`,
+      });
     }
-    return isFull(choice, this.#contextOf(call))
-      ? this.#refuse(DeliveryReason.Overloaded)
-      : { choice };
+    const context = this.#contextOf(call);
+    if (!isFull(choice, context)) return { choice };
+    const { figures } = choice;
+    return this.#refuse(DeliveryReason.Overloaded, {
+      detail: `owner ${id} full: load ${
+        figures.loadAt(context.nowMs).toFixed(1)
+      }, own ${figures.inFlightCount}, work ${figures.serviceMs.toFixed(0)} ms`,
+    });
   }
 
-  #refuse(reason: DeliveryReason, bounds = comeBackMs): Acquired {
-    return { reason, retryAfterMs: this.#draw(bounds) };
+  #refuse(
+    reason: DeliveryReason,
+    options: {
+      readonly bounds?: typeof comeBackMs;
+      readonly detail?: string;
+    } = {},
+  ): Acquired {
+    const { bounds = comeBackMs, detail } = options;
+    const retryAfterMs = this.#draw(bounds);
+    return {
+      reason,
+      retryAfterMs,
+      ...(detail === undefined ? {} : { detail }),
+    };
   }
 
   #draw({ least, most }: typeof comeBackMs): number {
--- a/src/services/feeds/store_table_feed.ts
+++ b/src/services/feeds/store_table_feed.ts
@@ -4,6 +4,7 @@
  * between. The tasks rest while another daemon relays the tables.
  */
 import { MessageCode } from "../../diagnostics/messages.ts";
+import { LimitedSignal } from "../../host/limited_signal.ts";
 import type { RowChange, StoredRow } from "../../host/row_store.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
@@ -165,13 +166,15 @@
     const { table, copy, signal } = followed;
     const waitMs = this.#isRelaying ? relayingWaitMs : followWaitMs;
     const direct = this.#direct.signal;
+    const limit = new LimitedSignal({ parents: [signal, direct] });
     const answer = await this.#services!.get(ServiceName.RowStore)
       .follow(table, {
         afterVersion,
         waitMs,
         timeoutMs: waitMs + answerSlackMs,
-        signal: AbortSignal.any([signal, direct]),
+        signal: limit.signal,
       });
+    limit.dispose();
     if (direct.aborted) return;
     if (answer.isErr()) return answer.error;
     const { changes, version } = answer.value;
@@ -180,7 +183,7 @@
     if (changes.length === 0) return;
     this.changed.notify();
     await this.#services!.get(ServiceName.Clock)
-      .sleep(coalesceMs, AbortSignal.any([signal, direct]));
+      .sleep(coalesceMs, signal);
   }
 
   async #noteFailure(
--- a/src/services/fleet/http_fleet_link.ts
+++ b/src/services/fleet/http_fleet_link.ts
@@ -12,6 +12,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { LimitedSignal } from "../../host/limited_signal.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import { FleetLink } from "./fleet_link.ts";
@@ -155,7 +156,22 @@
     }
   }
 
-  #post(address: string, body: string): Promise<string> {
+  async #post(address: string, body: string): Promise<string> {
+    const limit = new LimitedSignal({
+      parents: [this.#stopping.signal],
+      timeoutMs: syncTimeoutMs,
+    });
+    try {
+      return await this.#exchange(address, { body, signal: limit.signal });
+    } finally {
+      limit.dispose();
+    }
+  }
+
+  #exchange(
+    address: string,
+    { body, signal }: { readonly body: string; readonly signal: AbortSignal },
+  ): Promise<string> {
     const [host, port] = address.split(":");
     return new Promise((resolve, reject) => {
       const request = startRequest({
@@ -164,10 +180,7 @@
         port: Number(port),
         method: "POST",
         path: syncPath,
-        signal: AbortSignal.any([
-          this.#stopping.signal,
-          AbortSignal.timeout(syncTimeoutMs),
-        ]),
+        signal,
       });
       request.on("error", reject);
       request.on("response", (response) => {
--- a/src/services/gateway/caller_connection.ts
+++ b/src/services/gateway/caller_connection.ts
@@ -7,14 +7,16 @@
 
 /** One caller's connection. */
 export class CallerConnection {
-  /** Requests whose answers are not on their way yet. */
+  /** Requests whose answers have not been handed over whole. */
   pendingCount = 0;
   /** An answer has told the caller that the connection closes. */
   isClosing = false;
+  readonly #socket: Socket;
   #newest = 0;
   readonly #left = createStopController();
 
   constructor(socket: Socket) {
+    this.#socket = socket;
     socket.once("close", () => this.#left.abort());
     socket.setNoDelay(true);
   }
@@ -24,6 +26,16 @@
     return this.#left.signal;
   }
 
+  /**
+   * Closes the connection when no answer is due on it. Node's own check takes
+   * an answer for finished that is still being sent.
+   */
+  closeIfIdle(): void {
+    if (this.pendingCount > 0 || this.#socket.writableLength > 0) return;
+    this.isClosing = true;
+    this.#socket.end();
+  }
+
   /** Numbers a request in the order of reading. */
   admit(): number {
     this.pendingCount += 1;
--- a/src/services/gateway/http_gateway.ts
+++ b/src/services/gateway/http_gateway.ts
@@ -9,7 +9,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Duplex } from "node:stream";
-import type { Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 import { pipeline, Readable } from "node:stream";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
@@ -81,6 +81,7 @@
 export class HttpGateway extends Gateway {
   readonly #options: HttpGatewayOptions;
   readonly #connections = new WeakMap<Duplex, CallerConnection>();
+  readonly #open = new Set<CallerConnection>();
   readonly #stopping = new AbortController();
   #services: ServiceLookup | undefined;
   #callers: Server | undefined;
@@ -125,11 +126,11 @@
     const endAtMs = leftAtMs + this.#options.graceMs - leaveReserveMs;
     this.#isLeaving = true;
     await clock.sleep(leaveNoticeMs);
-    this.#callers?.close();
-    this.#callers?.closeIdleConnections();
+    if (this.#callers !== undefined) stopListening(this.#callers);
+    this.#closeIdleConnections();
     while (this.#activeCount > 0 && clock.nowMs() < endAtMs) {
       await clock.sleep(leaveCheckMs);
-      this.#callers?.closeIdleConnections();
+      this.#closeIdleConnections();
     }
     this.#services!.get(ServiceName.Log).info("callers left", {
       cutOffCount: this.#activeCount,
@@ -146,6 +147,10 @@
     return Promise.resolve();
   }
 
+  #closeIdleConnections(): void {
+    for (const connection of this.#open) connection.closeIfIdle();
+  }
+
   #createCallersServer(): Server {
     const server = createServer({
       maxHeaderSize: parserHeaderBytes,
@@ -156,7 +161,10 @@
       noDelay: true,
     });
     server.on("connection", (socket: Socket) => {
-      this.#connections.set(socket, new CallerConnection(socket));
+      const connection = new CallerConnection(socket);
+      this.#connections.set(socket, connection);
+      this.#open.add(connection);
+      socket.once("close", () => this.#open.delete(connection));
     });
     server.on("request", (request, response) => {
       void this.#serve(request, response);
@@ -505,6 +513,11 @@
   }
 }
 
+/** Accepts no more connections; an HTTP server's own `close` would cut answers short. */
+function stopListening(server: Server): void {
+  NetServer.prototype.close.call(server);
+}
+
 function listen(
   server: Server,
   { host, port }: { readonly host: string; readonly port: number },
--- a/src/services/keyspace/holder_task.ts
+++ b/src/services/keyspace/holder_task.ts
@@ -152,6 +152,15 @@
         hold.unansweredFence = before.unansweredFence;
         this.#renewedAtMs.set(hold, sentAtMs);
         if (range.isGranted) return;
+        this.#services.get(ServiceName.Log).info("range granted", {
+          service: this.#options.service,
+          server: this.#options.server.id,
+          first: range.first,
+          last: range.last,
+          fence: sentFence,
+          holdMs,
+          hasHandover: range.handoverToken !== undefined,
+        });
         range.isGranted = true;
         range.handoverToken = undefined;
         this.#options.onProgress();
--- a/standins/fleet/key_server_standin.ts
+++ b/standins/fleet/key_server_standin.ts
@@ -42,6 +42,8 @@
   readonly server: Server;
   readonly runs: Run[] = [];
   fault = ServerFault.None;
+  /** Bytes that are added to each answer. */
+  paddingBytes = 0;
   readonly #entry: ServerEntry;
   readonly #keys: FakeKeyServer;
   readonly #workMs: number;
@@ -144,7 +146,7 @@
       "x-response-signature": `${this.#entry.id}:${requestId}`,
       "x-server-load": load,
     });
-    response.end(`answer to ${requestId}`);
+    response.end(`answer to ${requestId}${".".repeat(this.paddingBytes)}`);
   }
 
   #holds(key: number | undefined): boolean {
