Let the standby of a new home fetch the records of the former one

The confirmation of unknown outcome ran again. Ruled out: a lost intent (home and first standby both had the record as unknown). Change: a daemon that stands by for a new home fetches the former home's records too, so it waits for them when it becomes home.

--- a/src/services/home/home_history.ts
+++ b/src/services/home/home_history.ts
@@ -21,7 +21,7 @@
 
 /** What an assignment changed for one daemon. */
 export interface HomeChange {
-  /** Former homes of what the daemon is home of now. */
+  /** Former homes of what the daemon is home of now, or stands by for. */
   readonly takenOver: readonly HomeSource[];
   /** What the daemon stays home of, with a standby that is new. */
   readonly newStandbys: readonly HomeSource[];
@@ -107,14 +107,28 @@
 
   /** The group that a change belongs to; undefined when nothing follows. */
   compare(former: HomePair | undefined, present: HomePair) {
-    if (present.homeId !== this.#self) return undefined;
     if (former === undefined) return undefined;
+    if (present.homeId !== this.#self) {
+      return this.#isNewStandby(former, present)
+        ? this.#takenOver.groupOf(former)
+        : undefined;
+    }
     if (former.homeId !== this.#self) return this.#takenOver.groupOf(former);
     return former.standbyId === present.standbyId
       ? undefined
       : this.#newStandbys.groupOf(present);
   }
 
+  /**
+   * Whether this daemon stands by for a new home. The new home may be lost
+   * before it has fetched the records, so its standby fetches them as well.
+   */
+  #isNewStandby(former: HomePair, present: HomePair): boolean {
+    if (present.standbyId !== this.#self) return false;
+    return former.homeId !== present.homeId && former.homeId !== this.#self &&
+      former.standbyId !== this.#self;
+  }
+
   result(): HomeChange {
     return {
       takenOver: this.#takenOver.list(),
