--- /dev/null
+++ b/src/daemon/fleet_settings_test.ts
@@ -0,0 +1,69 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import * as assert from "uvu/assert";
+import { describe, it } from "../testing/describe.ts";
+import { readFleetSettings } from "./fleet_settings.ts";
+
+const good = {
+  daemonId: "front-1",
+  zone: "a",
+  callersAddress: "10.0.0.1:8548",
+  readinessAddress: "10.0.0.1:8542",
+  storeAddress: "10.0.0.9:8541",
+  host: "10.0.0.1",
+  peerPorts: [7540, 7555],
+  metricsAddress: "10.0.0.1:9464",
+  graceSeconds: 6,
+  retryRatio: 0.2,
+  retryWindowSeconds: 10,
+  retryExtraCount: 56,
+};
+
+function read(content: string) {
+  const folder = mkdtempSync(join(tmpdir(), "skylarkridge-"));
+  try {
+    const path = join(folder, "settings.json");
+    writeFileSync(path, content);
+    return readFleetSettings(path);
+  } finally {
+    rmSync(folder, { recursive: true });
+  }
+}
+
+describe("readFleetSettings", () => {
+  it("reads addresses, times in milliseconds and bounds", () => {
+    const settings = read(JSON.stringify(good))._unsafeUnwrap();
+    assert.equal(settings.callersAddress, { host: "10.0.0.1", port: 8548 });
+    assert.equal(settings.peerAddress, { host: "10.0.0.1", port: 7540 });
+    assert.is(settings.graceMs, 6_000);
+    assert.is(settings.retryWindowMs, 10_000);
+  });
+
+  it("ignores fields that it does not know", () => {
+    const settings = read(JSON.stringify({ ...good, later: true }));
+    assert.is(settings.isOk(), true);
+  });
+
+  const mistakes: readonly (readonly [string, object, RegExp])[] = [
+    ["an empty id", { daemonId: "" }, /daemonId must be a text/],
+    ["an address without a port", { callersAddress: "10.0.0.1" }, /port/],
+    ["ports of another type", { peerPorts: ["a"] }, /peerPorts/],
+    ["a negative time", { graceSeconds: -1 }, /graceSeconds must be a number/],
+  ];
+  for (const [title, change, expected] of mistakes) {
+    it(`names the field of ${title}`, () => {
+      const result = read(JSON.stringify({ ...good, ...change }));
+      assert.match(result._unsafeUnwrapErr().message, expected);
+    });
+  }
+
+  it("says that the file is not JSON", () => {
+    assert.match(read("{")._unsafeUnwrapErr().message, /JSON/);
+  });
+
+  it("says that there is no file", () => {
+    const result = readFleetSettings("/nowhere/settings.json");
+    assert.match(result._unsafeUnwrapErr().message, /nowhere/);
+  });
+});
--- a/src/host/server_link.ts
+++ b/src/host/server_link.ts
@@ -33,7 +33,6 @@
   readonly requestId: string;
   /** Time after which the backend server should stop. */
   readonly timeoutMs: number;
-  readonly isIdempotent: boolean;
 }
 
 /** The head of an answer, and its body as it arrives. */
--- a/src/services/backend/http_backend_transport_test.ts
+++ b/src/services/backend/http_backend_transport_test.ts
@@ -14,7 +14,7 @@
   RequestClass,
 } from "../../types/enums.ts";
 import type { KeyLocation, RoutedRequest } from "../../types/types.ts";
-import { listen } from "../peers/http_peer_server.ts";
+import { listen } from "../../host/listen.ts";
 import { HttpBackendTransport } from "./http_backend_transport.ts";
 
 type Handler = (request: IncomingMessage, response: ServerResponse) => void;
--- a/src/services/dispatch/balanced_dispatch.ts
+++ b/src/services/dispatch/balanced_dispatch.ts
@@ -411,7 +411,6 @@
       body: call.body,
       requestId: call.requestId,
       timeoutMs,
-      isIdempotent: isRepeatable(call),
     }, { signal: limit.signal, onSent: () => wasSent = true });
     if (result.load !== undefined) figures.noteLoad(result.load, clock.nowMs());
     if (result.ending !== SendEnding.Answered) {
--- a/src/services/entry/http_entry.ts
+++ b/src/services/entry/http_entry.ts
@@ -15,7 +15,7 @@
 import { DaemonState } from "../../types/enums.ts";
 import { RouterError } from "../../types/errors.ts";
 import type { HttpExchange } from "../peers/forward_handler.ts";
-import { listen } from "../peers/http_peer_server.ts";
+import { listen } from "../../host/listen.ts";
 import { ActiveTasks } from "./active_tasks.ts";
 import {
   CallerConnections,
--- a/src/services/fleet/http_fleet_link.ts
+++ b/src/services/fleet/http_fleet_link.ts
@@ -13,6 +13,7 @@
   type ServerResponse,
 } from "node:http";
 import { LimitedSignal } from "../../host/limited_signal.ts";
+import { listen } from "../../host/listen.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import { FleetLink } from "./fleet_link.ts";
@@ -78,10 +79,7 @@
     });
     this.#server = server;
     this.#task = this.#run(services);
-    return new Promise((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(this.#listen.port, this.#listen.host, () => resolve());
-    });
+    return listen(server, this.#listen);
   }
 
   override async stop(): Promise<void> {
--- a/src/services/gateway/http_gateway.ts
+++ b/src/services/gateway/http_gateway.ts
@@ -11,6 +11,7 @@
 import type { Duplex } from "node:stream";
 import { Server as NetServer, type Socket } from "node:net";
 import { pipeline, Readable } from "node:stream";
+import { listen } from "../../host/listen.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import { assertNever } from "../../types/errors.ts";
@@ -517,13 +518,3 @@
 function stopListening(server: Server): void {
   NetServer.prototype.close.call(server);
 }
-
-function listen(
-  server: Server,
-  { host, port }: { readonly host: string; readonly port: number },
-): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(port, host, () => resolve());
-  });
-}
--- a/src/services/metrics/metrics_listener.ts
+++ b/src/services/metrics/metrics_listener.ts
@@ -3,6 +3,7 @@
  * common collectors read.
  */
 import { createServer, type Server } from "node:http";
+import { listen } from "../../host/listen.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { Service } from "../../kernel/service.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
@@ -44,11 +45,7 @@
       response.end(formatMetrics(metrics));
     });
     this.#server = server;
-    const { host, port } = this.#options;
-    return new Promise((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(port, host, () => resolve());
-    });
+    return listen(server, this.#options);
   }
 
   override stop(): Promise<void> {
--- a/src/services/peers/http_peer_server.ts
+++ b/src/services/peers/http_peer_server.ts
@@ -19,6 +19,7 @@
   formatPublicMessage,
   MessageCode,
 } from "../../diagnostics/messages.ts";
+import { listen } from "../../host/listen.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import { CounterName } from "../metrics/metrics.ts";
@@ -165,20 +166,6 @@
   response.end(JSON.stringify({ code, message }));
 }
 
-/** Starts listening; rejects when the address is not available. */
-export function listen(
-  server: Server,
-  options: { readonly host: string; readonly port: number },
-): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(options.port, options.host, () => {
-      server.off("error", reject);
-      resolve();
-    });
-  });
-}
-
 /** Compares in constant time, whatever the lengths. */
 function isSecretEqual(header: string | undefined, secret: string): boolean {
   const given = createHash("sha256").update(header ?? "").digest();
