Split the gateway and dispatch by job; never send a request on whose body broke off

Cause: a body that broke off was replaced by none, so a request could go on without it while its connection was not yet seen to be closed. Change: the connection ends, with a log line. The finder of servers, the writer of answers and readiness are modules of their own.

--- /dev/null
+++ b/src/services/dispatch/server_finder.ts
@@ -0,0 +1,292 @@
+/**
+ * Finds the server for a request: the owner of its key, or the least loaded
+ * server of its service. Knows the servers' figures, and probes those that are
+ * avoided.
+ */
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { ChangeSignal } from "../../streams/change_signal.ts";
+import {
+  incarnationOf,
+  type RoutingTable,
+  type ServerEntry,
+} from "../../types/routing.ts";
+import { OwnershipState } from "../keyspace/key_space.ts";
+import { CounterName } from "../metrics/metrics.ts";
+import {
+  type Choice,
+  type ChoiceContext,
+  isFull,
+  tryChooseServer,
+} from "./choose_server.ts";
+import { DeliveryReason, type RoutedCall } from "./dispatch.ts";
+import { ServerFigures } from "./server_book.ts";
+
+/** Part of a server's connections that the fleet uses; the rest is for orders and for daemons that join. */
+const connectionShare = 0.8;
+const minConnections = 2;
+/** Part of the objective for which a request waits for room at a server. */
+const waitShare = 0.08;
+/** As `waitShare`, for a key that is about to be served by its next owner. */
+const movingWaitShare = 0.7;
+/** Bounds of the time after which a caller is told to come back. */
+const comeBackMs = { least: 80, most: 250 };
+/** As `comeBackMs`, for keys without an owner. */
+const unownedComeBackMs = { least: 300, most: 700 };
+/** Pauses between probes of a server that is avoided. */
+const probePauseMs = { first: 300, most: 2_000 };
+/** Longest wait for a probe's answer; probes wait for a slot like requests. */
+const probeTimeoutMs = 1_000;
+
+/** A server for the next send, or why there is none. */
+export type Acquired =
+  | { readonly choice: Choice }
+  | {
+    readonly reason: DeliveryReason;
+    readonly retryAfterMs: number;
+    /** The figures that decided, for the log. */
+    readonly detail?: string;
+  };
+
+/** What the finder needs of its daemon. */
+export interface ServerFinderOptions {
+  readonly zone: string;
+  /** Ends its tasks. */
+  readonly signal: AbortSignal;
+}
+
+/** Finds servers for one daemon. */
+export class ServerFinder {
+  readonly #services: ServiceLookup;
+  readonly #options: ServerFinderOptions;
+  readonly #figures = new Map<string, ServerFigures>();
+  readonly #roomChanged = new ChangeSignal();
+  readonly #priorities = new Map<string, number>();
+  #prioritiesOf: RoutingTable | undefined;
+
+  constructor(services: ServiceLookup, options: ServerFinderOptions) {
+    this.#services = services;
+    this.#options = options;
+    void this.#forgetServers();
+  }
+
+  /** A request has left a server. */
+  noteRoom(): void {
+    this.#roomChanged.notify();
+  }
+
+  /** When a caller that is refused should come back. */
+  drawComeBackMs(): number {
+    return this.#draw(comeBackMs);
+  }
+
+  /** Waits a short time for a server that may take the request. */
+  async acquire(
+    call: RoutedCall,
+    options: {
+      readonly tried: ReadonlySet<string>;
+      readonly arrivedAtMs: number;
+    },
+  ): Promise<Acquired> {
+    const services = this.#services;
+    const clock = services.get(ServiceName.Clock);
+    for (;;) {
+      const found = call.key === undefined
+        ? this.#chooseAny(call, options.tried)
+        : this.#chooseOwner(call, options.tried);
+      if ("choice" in found || call.callerLeft.aborted) return found;
+      const isMoving = found.reason === DeliveryReason.KeyMoving;
+      const mayWait = isMoving || found.reason === DeliveryReason.Overloaded;
+      const share = isMoving ? movingWaitShare : waitShare;
+      const untilMs = Math.min(
+        call.deadlineAtMs,
+        options.arrivedAtMs + call.route.objectiveMs * share,
+      );
+      const durationMs = untilMs - clock.nowMs();
+      if (!mayWait || durationMs <= 0) return found;
+      const changed = isMoving
+        ? services.get(ServiceName.KeySpace).changed
+        : this.#roomChanged;
+      await changed.waitAtMost(clock, {
+        durationMs,
+        seenCount: changed.count,
+        signal: call.callerLeft,
+      });
+    }
+  }
+
+  #chooseAny(call: RoutedCall, tried: ReadonlySet<string>): Acquired {
+    const services = this.#services;
+    const servers = services.get(ServiceName.Directory)
+      .usableServers(call.service);
+    const choices = servers
+      .map((server) => ({ server, figures: this.#figuresOf(server) }))
+      .filter(({ server, figures }) =>
+        !figures.isAvoided && !tried.has(server.id)
+      );
+    if (choices.length === 0) {
+      const detail = `${servers.length} servers, ${tried.size} tried`;
+      return this.#refuse(DeliveryReason.NoServer, { detail });
+    }
+    const choice = tryChooseServer(choices, {
+      ...this.#contextOf(call),
+      random: services.get(ServiceName.Random),
+    });
+    return choice === undefined
+      ? this.#refuse(DeliveryReason.Overloaded, {
+        detail: `all ${choices.length} servers full`,
+      })
+      : { choice };
+  }
+
+  #chooseOwner(call: RoutedCall, tried: ReadonlySet<string>): Acquired {
+    const services = this.#services;
+    const owner = services.get(ServiceName.KeySpace)
+      .ownerOf(call.service, call.key!);
+    if (owner.state === OwnershipState.Moving) {
+      return this.#refuse(DeliveryReason.KeyMoving);
+    }
+    if (owner.server === undefined) {
+      return this.#refuse(DeliveryReason.KeyUnowned, {
+        bounds: unownedComeBackMs,
+      });
+    }
+    const { id, bornAtMs } = owner.server;
+    const server = services.get(ServiceName.Directory).tryGet(id);
+    if (server === undefined || server.bornAtMs !== bornAtMs) {
+      return this.#refuse(DeliveryReason.KeyUnowned, {
+        bounds: unownedComeBackMs,
+        detail: `owner ${id} is gone`,
+      });
+    }
+    if (server.isDraining || tried.has(id)) {
+      return this.#refuse(DeliveryReason.KeyMoving, {
+        detail: `owner ${id} ${server.isDraining ? "drains" : "was tried"}`,
+      });
+    }
+    const choice = { server, figures: this.#figuresOf(server) };
+    if (choice.figures.isAvoided) {
+      return this.#refuse(DeliveryReason.OwnerUnreachable, {
+        bounds: unownedComeBackMs,
+        detail: `owner ${id} is avoided`,
+      });
+    }
+    const context = this.#contextOf(call);
+    if (!isFull(choice, context)) return { choice };
+    const { figures } = choice;
+    return this.#refuse(DeliveryReason.Overloaded, {
+      detail: `owner ${id} full: load ${
+        figures.loadAt(context.nowMs).toFixed(1)
+      }, own ${figures.inFlightCount}, work ${figures.serviceMs.toFixed(0)} ms`,
+    });
+  }
+
+  #refuse(
+    reason: DeliveryReason,
+    options: {
+      readonly bounds?: typeof comeBackMs;
+      readonly detail?: string;
+    } = {},
+  ): Acquired {
+    const { bounds = comeBackMs, detail } = options;
+    const retryAfterMs = this.#draw(bounds);
+    return {
+      reason,
+      retryAfterMs,
+      ...(detail === undefined ? {} : { detail }),
+    };
+  }
+
+  #draw({ least, most }: typeof comeBackMs): number {
+    const random = this.#services.get(ServiceName.Random);
+    return least + (most - least) * random.nextFraction();
+  }
+
+  #contextOf(call: RoutedCall): ChoiceContext {
+    const services = this.#services;
+    const table = services.get(ServiceName.Routing).current();
+    const daemonCount = services.get(ServiceName.KeySpace).daemonCount();
+    const maxConnections = table?.services.get(call.service)?.maxConnections ??
+      minConnections;
+    return {
+      route: call.route,
+      zone: this.#options.zone,
+      nowMs: services.get(ServiceName.Clock).nowMs(),
+      maxInFlight: Math.max(
+        minConnections,
+        Math.floor(maxConnections * connectionShare / daemonCount),
+      ),
+      isYielding: this.#highestPriorityOf(call.service) < call.route.priority,
+    };
+  }
+
+  /** The most urgent priority among the routes of a service. */
+  #highestPriorityOf(service: string): number {
+    const table = this.#services.get(ServiceName.Routing).current();
+    if (table !== this.#prioritiesOf) {
+      this.#prioritiesOf = table;
+      this.#priorities.clear();
+      for (const { targets, priority } of table?.routes ?? []) {
+        for (const target of targets) {
+          const known = this.#priorities.get(target.service) ?? Infinity;
+          this.#priorities.set(target.service, Math.min(known, priority));
+        }
+      }
+    }
+    return this.#priorities.get(service) ?? Infinity;
+  }
+
+  /** Probes a server that is avoided, until it answers or is gone. */
+  async probe({ server, figures }: Choice): Promise<void> {
+    const services = this.#services;
+    const { signal } = this.#options;
+    const clock = services.get(ServiceName.Clock);
+    let pauseMs = probePauseMs.first;
+    while (!signal.aborted) {
+      await clock.sleep(pauseMs, signal);
+      pauseMs = Math.min(probePauseMs.most, pauseMs * 2);
+      const present = services.get(ServiceName.Directory).tryGet(server.id);
+      if (present?.bornAtMs !== server.bornAtMs || signal.aborted) return;
+      const path = services.get(ServiceName.Routing).current()
+        ?.services.get(server.service)?.healthPath;
+      if (path === undefined) return;
+      services.get(ServiceName.Metrics).count(CounterName.ProbesSent);
+      const probe = await services.get(ServiceName.ServerLink)
+        .probe(server, { path, timeoutMs: probeTimeoutMs });
+      if (!probe.isHealthy) continue;
+      figures.readmit();
+      services.get(ServiceName.Log).info("server readmitted", {
+        server: server.id,
+        peer: server.address,
+      });
+      this.#roomChanged.notify();
+      return;
+    }
+  }
+
+  #figuresOf(server: ServerEntry): ServerFigures {
+    const name = incarnationOf(server);
+    let figures = this.#figures.get(name);
+    if (figures === undefined) {
+      figures = new ServerFigures();
+      this.#figures.set(name, figures);
+    }
+    return figures;
+  }
+
+  /** Drops the figures of servers that are gone. */
+  async #forgetServers(): Promise<void> {
+    const { signal } = this.#options;
+    const directory = this.#services.get(ServiceName.Directory);
+    while (!signal.aborted) {
+      await directory.changed.wait(signal);
+      for (const [name, figures] of this.#figures) {
+        const id = name.slice(0, name.lastIndexOf("@"));
+        const present = directory.tryGet(id);
+        const isGone = present === undefined || incarnationOf(present) !== name;
+        if (isGone && figures.inFlightCount === 0) this.#figures.delete(name);
+      }
+      this.#roomChanged.notify();
+    }
+  }
+}
--- /dev/null
+++ b/src/services/gateway/answer_writer.ts
@@ -0,0 +1,193 @@
+/**
+ * Writes answers to callers, those of backend servers and the daemon's own,
+ * and logs each request's outcome.
+ */
+import { pipeline, Readable } from "node:stream";
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+import { RequestClass } from "../../types/enums.ts";
+import { assertNever } from "../../types/errors.ts";
+import { RequestKind } from "../../types/routing.ts";
+import {
+  type DeliveredAnswer,
+  type Delivery,
+  DeliveryEnding,
+  DeliveryReason,
+  type RoutedCall,
+} from "../dispatch/dispatch.ts";
+import { CounterName, TimingName } from "../metrics/metrics.ts";
+import type { Exchange, Refusal } from "./exchange.ts";
+
+/** When a caller shall come back where nothing else is known. */
+export const usualRetryMs = 500;
+
+export const statusUnavailable = 503;
+const statusBadGateway = 502;
+const statusGatewayTimeout = 504;
+
+/** Writes to callers. */
+export class AnswerWriter {
+  readonly #services: ServiceLookup;
+  /** The daemon leaves: the last answer of each connection closes it. */
+  isLeaving = false;
+
+  constructor(services: ServiceLookup) {
+    this.#services = services;
+  }
+
+  /** Answers with what a delivery came to. */
+  writeDelivery(exchange: Exchange, delivery: Delivery): void {
+    const { ending, reason, answer } = delivery;
+    switch (ending) {
+      case DeliveryEnding.Answered:
+        this.#services.get(ServiceName.Metrics)
+          .count(CounterName.RequestsAnswered);
+        return this.#writeAnswer(exchange, answer!);
+      case DeliveryEnding.NotRun:
+        return this.refuse(exchange, {
+          status: statusUnavailable,
+          reason: `not run: ${reason}`,
+          cause: reason,
+          retryAfterMs: delivery.retryAfterMs ?? usualRetryMs,
+        });
+      case DeliveryEnding.Unknown:
+        return this.refuse(exchange, {
+          status: statusBadGateway,
+          reason: `may have run: ${reason}`,
+          cause: reason,
+        });
+      case DeliveryEnding.TimedOut:
+        return this.refuse(exchange, {
+          status: statusGatewayTimeout,
+          reason: `may have run: ${reason}`,
+          cause: reason,
+        });
+      case DeliveryEnding.CallerLeft:
+        return;
+      default:
+        assertNever(ending);
+    }
+  }
+
+  #writeAnswer(
+    exchange: Exchange,
+    { status, headers, body, endsWithConnection }: DeliveredAnswer,
+  ): void {
+    const { response } = exchange;
+    response.sendDate = false;
+    const length = body instanceof Readable || endsWithConnection
+      ? []
+      : ["Content-Length", String(body.length)];
+    this.#markClosing(exchange);
+    if (endsWithConnection) {
+      // Whoever closed the connection early, the caller must not be told that
+      // the body is complete.
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+      exchange.connection.isClosing = true;
+    }
+    response.writeHead(status, [...headers, ...length]);
+    if (!(body instanceof Readable)) return void response.end(body);
+    pipeline(body, response, (error) => {
+      if (!error) return;
+      this.#services.get(ServiceName.Log).warn("answer broken off", {
+        reason: error.message,
+      });
+      response.destroy();
+    });
+  }
+
+  /** Answers on the daemon's own behalf. */
+  refuse(exchange: Exchange, refusal: Refusal): void {
+    const { response, request } = exchange;
+    this.#services.get(ServiceName.Metrics)
+      .count(
+        CounterName.RequestsRefused,
+        refusal.cause ?? `status ${refusal.status}`,
+      );
+    const body = JSON.stringify({ error: refusal.reason });
+    this.#markClosing(exchange);
+    const retryAfter = refusal.retryAfterMs === undefined
+      ? []
+      : ["Retry-After", (refusal.retryAfterMs / 1_000).toFixed(2)];
+    response.writeHead(refusal.status, [
+      "Content-Type",
+      "application/json",
+      "Content-Length",
+      String(Buffer.byteLength(body)),
+      ...retryAfter,
+    ]);
+    response.end(body);
+    request.resume();
+    this.#logRefusal(exchange, refusal);
+  }
+
+  /** While leaving, the last answer of a connection closes it. */
+  #markClosing({ response, connection, place }: Exchange): void {
+    if (!this.isLeaving || !connection.mayCloseBehind(place)) return;
+    connection.isClosing = true;
+    response.shouldKeepAlive = false;
+  }
+
+  /** Logs and measures a delivery. */
+  logDelivery(
+    { arrivedAtMs }: Exchange,
+    { call, delivery }: {
+      readonly call: RoutedCall;
+      readonly delivery: Delivery;
+    },
+  ): void {
+    const services = this.#services;
+    const tookMs = services.get(ServiceName.Clock).nowMs() - arrivedAtMs;
+    services.get(ServiceName.Metrics).record(TimingName.Total, tookMs, {
+      customer: call.service,
+      requestClass: classOf(call.route.kind),
+    });
+    services.get(ServiceName.Log).info("request", {
+      id: call.requestId,
+      route: call.route.name,
+      service: call.service,
+      key: call.key,
+      ending: delivery.ending,
+      reason: delivery.reason === DeliveryReason.None
+        ? undefined
+        : delivery.reason,
+      status: delivery.answer?.status,
+      server: delivery.server,
+      sends: delivery.sendCount,
+      trail: delivery.trail.length > 1 || delivery.answer === undefined
+        ? delivery.trail.join("; ")
+        : undefined,
+      tookMs: Math.round(tookMs),
+      configuration: services.get(ServiceName.Routing).current()?.version,
+      ownersVersion: call.key === undefined
+        ? undefined
+        : services.get(ServiceName.KeySpace).versionOf(call.service),
+    });
+  }
+
+  #logRefusal({ request }: Exchange, refusal: Refusal): void {
+    const facts = this.#services.get(ServiceName.CallerProtocol)
+      .readFacts(request.headers);
+    this.#services.get(ServiceName.Log).info("refused", {
+      id: facts.requestId,
+      status: refusal.status,
+      reason: refusal.reason,
+      retryAfterMs: refusal.retryAfterMs && Math.round(refusal.retryAfterMs),
+    });
+  }
+}
+
+/** The class under which a kind of request is measured. */
+function classOf(kind: RequestKind): RequestClass {
+  switch (kind) {
+    case RequestKind.NonIdempotent:
+      return RequestClass.Confirmation;
+    case RequestKind.Idempotent:
+      return RequestClass.LiveRead;
+    case RequestKind.Download:
+      return RequestClass.Archive;
+    default:
+      assertNever(kind);
+  }
+}
--- a/src/services/gateway/http_gateway.ts
+++ b/src/services/gateway/http_gateway.ts
@@ -10,27 +10,22 @@
 } from "node:http";
 import type { Duplex } from "node:stream";
 import { Server as NetServer, type Socket } from "node:net";
-import { pipeline, Readable } from "node:stream";
 import { listen } from "../../host/listen.ts";
+import { fromPromise } from "neverthrow";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
-import { assertNever } from "../../types/errors.ts";
-import { RequestClass } from "../../types/enums.ts";
+import type { CallerLimits, Route } from "../../types/routing.ts";
+import type { RoutedCall } from "../dispatch/dispatch.ts";
+import { CounterName } from "../metrics/metrics.ts";
 import {
-  type CallerLimits,
-  RequestKind,
-  type Route,
-} from "../../types/routing.ts";
-import {
-  type DeliveredAnswer,
-  type Delivery,
-  DeliveryEnding,
-  DeliveryReason,
-  type RoutedCall,
-} from "../dispatch/dispatch.ts";
-import { CounterName, TimingName } from "../metrics/metrics.ts";
+  AnswerWriter,
+  statusUnavailable,
+  usualRetryMs,
+} from "./answer_writer.ts";
 import { CallerConnection } from "./caller_connection.ts";
+import type { Exchange, Refusal } from "./exchange.ts";
 import { Gateway } from "./gateway.ts";
+import { isReady } from "./is_ready.ts";
 import { readBody } from "./read_body.ts";
 
 /** Limits until the configuration is known. */
@@ -44,8 +39,6 @@
 const parserHeaderBytes = 65_536;
 /** How often Node looks for connections whose head is late. */
 const lateCheckIntervalMs = 1_000;
-/** When a caller shall come back that met a daemon without a configuration. */
-const unconfiguredRetryMs = 500;
 /** Time for which callers are accepted after leaving; the balancer needs two checks. */
 const leaveNoticeMs = 2_800;
 /** Kept free at the end of the grace time. */
@@ -58,9 +51,6 @@
 const statusBadRequest = 400;
 const statusTooLarge = 413;
 const statusHeadersTooLarge = 431;
-const statusBadGateway = 502;
-const statusUnavailable = 503;
-const statusGatewayTimeout = 504;
 
 /** Where to listen, and how long leaving may take. */
 export interface HttpGatewayOptions {
@@ -69,15 +59,6 @@
   readonly graceMs: number;
 }
 
-interface Exchange {
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
-  readonly connection: CallerConnection;
-  /** The request's place among those of its connection. */
-  readonly place: number;
-  readonly arrivedAtMs: number;
-}
-
 /** Accepts callers over HTTP. */
 export class HttpGateway extends Gateway {
   readonly #options: HttpGatewayOptions;
@@ -88,7 +69,7 @@
   #callers: Server | undefined;
   #readiness: Server | undefined;
   #activeCount = 0;
-  #isLeaving = false;
+  #writer: AnswerWriter | undefined;
 
   constructor(options: HttpGatewayOptions) {
     super();
@@ -110,6 +91,7 @@
 
   override async start(services: ServiceLookup): Promise<void> {
     this.#services = services;
+    this.#writer = new AnswerWriter(services);
     this.#callers = this.#createCallersServer();
     this.#readiness = createServer((request, response) =>
       this.#answerReadiness(request, response)
@@ -125,7 +107,7 @@
     const clock = this.#services!.get(ServiceName.Clock);
     const leftAtMs = clock.nowMs();
     const endAtMs = leftAtMs + this.#options.graceMs - leaveReserveMs;
-    this.#isLeaving = true;
+    this.#writer!.isLeaving = true;
     await clock.sleep(leaveNoticeMs);
     if (this.#callers !== undefined) stopListening(this.#callers);
     this.#closeIdleConnections();
@@ -225,40 +207,46 @@
 
   async #answer(exchange: Exchange): Promise<void> {
     const services = this.#services!;
-    const { request, connection } = exchange;
+    const { request, response, connection } = exchange;
     const routing = services.get(ServiceName.Routing);
     const table = routing.current();
     const [path = "/"] = (request.url ?? "/").split("?", 1);
     if (table === undefined) {
-      return this.#refuse(exchange, {
+      return this.#writer!.refuse(exchange, {
         status: statusUnavailable,
         reason: "the daemon has no configuration yet",
-        retryAfterMs: unconfiguredRetryMs,
+        retryAfterMs: usualRetryMs,
       });
     }
     const host = request.headers.host ?? "";
     const route = routing.tryMatch(host, path);
     if (route === undefined) {
-      return this.#refuse(exchange, {
+      return this.#writer!.refuse(exchange, {
         status: statusNotFound,
         reason: `no route for ${host}${path}`,
       });
     }
     const refusal = this.#checkBounds(request);
-    if (refusal !== undefined) return this.#refuse(exchange, refusal);
-    const body = await readBody(request).catch(() => undefined);
+    if (refusal !== undefined) return this.#writer!.refuse(exchange, refusal);
+    const read = await fromPromise(readBody(request), String);
     if (connection.left.aborted) return;
+    if (read.isErr()) {
+      services.get(ServiceName.Log)
+        .info("request body broken off", { reason: read.error });
+      return void response.destroy();
+    }
+    const body = read.value;
     const service = routing.chooseService(route);
     const call = this.#createCall(exchange, { route, service, body });
     if (call === undefined) {
-      return this.#refuse(exchange, {
+      return this.#writer!.refuse(exchange, {
         status: statusBadRequest,
         reason: "the request has no id, or no key where its service needs one",
       });
     }
     const delivery = await services.get(ServiceName.Dispatch).deliver(call);
-    this.#logDelivery(exchange, { call, delivery });
-    this.#writeDelivery(exchange, delivery);
+    this.#writer!.logDelivery(exchange, { call, delivery });
+    this.#writer!.writeDelivery(exchange, delivery);
   }
 
   #checkBounds(request: IncomingMessage): Refusal | undefined {
@@ -310,99 +298,6 @@
     };
   }
 
-  #writeDelivery(exchange: Exchange, delivery: Delivery): void {
-    const { ending, reason, answer } = delivery;
-    switch (ending) {
-      case DeliveryEnding.Answered:
-        this.#services!.get(ServiceName.Metrics)
-          .count(CounterName.RequestsAnswered);
-        return this.#writeAnswer(exchange, answer!);
-      case DeliveryEnding.NotRun:
-        return this.#refuse(exchange, {
-          status: statusUnavailable,
-          reason: `not run: ${reason}`,
-          cause: reason,
-          retryAfterMs: delivery.retryAfterMs ?? unconfiguredRetryMs,
-        });
-      case DeliveryEnding.Unknown:
-        return this.#refuse(exchange, {
-          status: statusBadGateway,
-          reason: `may have run: ${reason}`,
-          cause: reason,
-        });
-      case DeliveryEnding.TimedOut:
-        return this.#refuse(exchange, {
-          status: statusGatewayTimeout,
-          reason: `may have run: ${reason}`,
-          cause: reason,
-        });
-      case DeliveryEnding.CallerLeft:
-        return;
-      default:
-        assertNever(ending);
-    }
-  }
-
-  #writeAnswer(
-    exchange: Exchange,
-    { status, headers, body, endsWithConnection }: DeliveredAnswer,
-  ): void {
-    const { response } = exchange;
-    response.sendDate = false;
-    const length = body instanceof Readable || endsWithConnection
-      ? []
-      : ["Content-Length", String(body.length)];
-    this.#markClosing(exchange);
-    if (endsWithConnection) {
-      // Whoever closed the connection early, the caller must not be told that
-      // the body is complete.
-      response.useChunkedEncodingByDefault = false;
-      response.shouldKeepAlive = false;
-      exchange.connection.isClosing = true;
-    }
-    response.writeHead(status, [...headers, ...length]);
-    if (!(body instanceof Readable)) return void response.end(body);
-    pipeline(body, response, (error) => {
-      if (!error) return;
-      this.#services!.get(ServiceName.Log).warn("answer broken off", {
-        reason: error.message,
-      });
-      response.destroy();
-    });
-  }
-
-  /** Answers on the daemon's own behalf. */
-  #refuse(exchange: Exchange, refusal: Refusal): void {
-    const { response, request } = exchange;
-    this.#services!.get(ServiceName.Metrics)
-      .count(
-        CounterName.RequestsRefused,
-        refusal.cause ?? `status ${refusal.status}`,
-      );
-    const body = JSON.stringify({ error: refusal.reason });
-    this.#markClosing(exchange);
-    const retryAfter = refusal.retryAfterMs === undefined
-      ? []
-      : ["Retry-After", (refusal.retryAfterMs / 1_000).toFixed(2)];
-    response.writeHead(refusal.status, [
-      "Content-Type",
-      "application/json",
-      "Content-Length",
-      String(Buffer.byteLength(body)),
-      ...retryAfter,
-    ]);
-    response.end(body);
-    request.resume();
-    this.#logRefusal(exchange, refusal);
-  }
-
-  /** While leaving, the last answer of a connection closes it. */
-  #markClosing({ response, connection, place }: Exchange): void {
-    if (!this.#isLeaving || !connection.mayCloseBehind(place)) return;
-    connection.isClosing = true;
-    response.shouldKeepAlive = false;
-  }
-
   #refuseMalformed(error: NodeJS.ErrnoException, socket: Duplex): void {
     const connection = this.#connections.get(socket);
     const isAnswerOwed = (connection?.pendingCount ?? 0) > 0;
@@ -424,94 +319,11 @@
     const isAsked = request.url === readinessPath;
     const status = !isAsked
       ? statusNotFound
-      : this.#isReady()
+      : !this.#writer!.isLeaving && isReady(this.#services!)
       ? statusOk
       : statusUnavailable;
     response.writeHead(status, { "Content-Length": "0" }).end();
   }
-
-  /** Ready once every request that the configuration allows can be placed. */
-  #isReady(): boolean {
-    const services = this.#services!;
-    const table = services.get(ServiceName.Routing).current();
-    if (this.#isLeaving || table === undefined) return false;
-    if (!services.get(ServiceName.Directory).isKnown()) return false;
-    const keySpace = services.get(ServiceName.KeySpace);
-    for (const { name, isSharded } of table.services.values()) {
-      if (isSharded && !keySpace.isKnown(name)) return false;
-    }
-    return true;
-  }
-
-  #logDelivery(
-    { arrivedAtMs }: Exchange,
-    { call, delivery }: {
-      readonly call: RoutedCall;
-      readonly delivery: Delivery;
-    },
-  ): void {
-    const services = this.#services!;
-    const tookMs = services.get(ServiceName.Clock).nowMs() - arrivedAtMs;
-    services.get(ServiceName.Metrics).record(TimingName.Total, tookMs, {
-      customer: call.service,
-      requestClass: classOf(call.route.kind),
-    });
-    services.get(ServiceName.Log).info("request", {
-      id: call.requestId,
-      route: call.route.name,
-      service: call.service,
-      key: call.key,
-      ending: delivery.ending,
-      reason: delivery.reason === DeliveryReason.None
-        ? undefined
-        : delivery.reason,
-      status: delivery.answer?.status,
-      server: delivery.server,
-      sends: delivery.sendCount,
-      trail: delivery.trail.length > 1 || delivery.answer === undefined
-        ? delivery.trail.join("; ")
-        : undefined,
-      tookMs: Math.round(tookMs),
-      configuration: services.get(ServiceName.Routing).current()?.version,
-      ownersVersion: call.key === undefined
-        ? undefined
-        : services.get(ServiceName.KeySpace).versionOf(call.service),
-    });
-  }
-
-  #logRefusal({ request }: Exchange, refusal: Refusal): void {
-    const facts = this.#services!.get(ServiceName.CallerProtocol)
-      .readFacts(request.headers);
-    this.#services!.get(ServiceName.Log).info("refused", {
-      id: facts.requestId,
-      status: refusal.status,
-      reason: refusal.reason,
-      retryAfterMs: refusal.retryAfterMs && Math.round(refusal.retryAfterMs),
-    });
-  }
-}
-
-/** An answer on the daemon's own behalf. */
-interface Refusal {
-  readonly status: number;
-  readonly reason: string;
-  /** One of a few causes, for the counter; the status when omitted. */
-  readonly cause?: string;
-  readonly retryAfterMs?: number;
-}
-
-/** The class under which a kind of request is measured. */
-function classOf(kind: RequestKind): RequestClass {
-  switch (kind) {
-    case RequestKind.NonIdempotent:
-      return RequestClass.Confirmation;
-    case RequestKind.Idempotent:
-      return RequestClass.LiveRead;
-    case RequestKind.Download:
-      return RequestClass.Archive;
-    default:
-      assertNever(kind);
-  }
 }
 
 /** Accepts no more connections; an HTTP server's own `close` would cut answers short. */
--- /dev/null
+++ b/src/services/gateway/is_ready.ts
@@ -0,0 +1,15 @@
+/** Whether a daemon can place every request that the configuration allows. */
+import type { ServiceLookup } from "../../kernel/kernel.ts";
+import { ServiceName } from "../../kernel/service_name.ts";
+
+/** Whether the configuration, the servers and the owners of keys are known. */
+export function isReady(services: ServiceLookup): boolean {
+  const table = services.get(ServiceName.Routing).current();
+  if (table === undefined) return false;
+  if (!services.get(ServiceName.Directory).isKnown()) return false;
+  const keySpace = services.get(ServiceName.KeySpace);
+  for (const { name, isSharded } of table.services.values()) {
+    if (isSharded && !keySpace.isKnown(name)) return false;
+  }
+  return true;
+}
