Say what happens when one term runs out of fences

The comment said that such a term ends early; in truth its fences stop rising after 1,048,576 moves, merges and unanswered grants under one lease.

--- a/src/services/keyspace/granter_term.ts
+++ b/src/services/keyspace/granter_term.ts
@@ -10,7 +10,7 @@
 import { ServiceGranter } from "./service_granter.ts";
 import { createStopController } from "../../streams/stop_controller.ts";
 
-/** Fences of one term; a term that needs more than this ends early. */
+/** Fences of one term. Beyond these they stop rising: a lease kept through more moves than this needs a new term, which is not built yet. */
 const fencesPerTerm = 2 ** 20;
 
 /** Length of a hold while the store answers: outlasts the loss of the granter and the next one's start. */
