Give each script of the review a loopback address of its own

Scripts side by side took each other's ports: one run of case 1 could not start a daemon and ended with 2.

--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -6,7 +6,7 @@
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { findFreePort, sleep } from "./store.mjs";
+import { findFreePort, host, sleep } from "./store.mjs";
 
 const repository = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 /** How long a daemon may take until it is ready. */
@@ -96,12 +96,12 @@
       JSON.stringify({
         daemonId: name,
         zone: "zone-a",
-        callersAddress: `127.0.0.1:${front}`,
-        readinessAddress: `127.0.0.1:${ready}`,
+        callersAddress: `${host}:${front}`,
+        readinessAddress: `${host}:${ready}`,
         storeAddress,
-        host: "127.0.0.1",
+        host,
         peerPorts: [peer, peer],
-        metricsAddress: `127.0.0.1:${metrics}`,
+        metricsAddress: `${host}:${metrics}`,
         processorShare: 0.54,
         processorCount: 1,
         graceSeconds: 6,
@@ -181,7 +181,7 @@
   { method = "GET", path, headers = {}, body, timeoutMs },
 ) {
   return new Promise((resolve) => {
-    const socket = connect({ host: "127.0.0.1", port });
+    const socket = connect({ host, port });
     const answer = new Answer();
     const startedAtMs = performance.now();
     let isOver = false;
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -13,6 +13,11 @@
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
+/** The loopback address of this process's stand-ins and daemons, so that scripts side by side don't take each other's ports. */
+export const host = `127.${1 + (process.pid >> 8) % 250}.${
+  process.pid % 256
+}.1`;
+
 /** Ports below those that the system gives to outgoing connections. */
 const portRange = { first: 12_000, count: 19_000 };
 const usedPorts = new Set();
@@ -21,7 +26,7 @@
 export function listen(server, port) {
   return new Promise((resolve, reject) => {
     server.once("error", reject);
-    server.listen(port, "127.0.0.1", () => {
+    server.listen(port, host, () => {
       server.off("error", reject);
       resolve();
     });
@@ -65,7 +70,7 @@
   async start() {
     const port = await findFreePort();
     await listen(this.server, port);
-    this.address = `127.0.0.1:${port}`;
+    this.address = `${host}:${port}`;
   }
 
   stop() {
--- a/review/lib/upstream.mjs
+++ b/review/lib/upstream.mjs
@@ -1,7 +1,7 @@
 /** A small stand-in for an upstream, which behaves as the protocol page says. */
 import { createServer } from "node:http";
 import { text } from "node:stream/consumers";
-import { findFreePort, listen, sleep } from "./store.mjs";
+import { findFreePort, host, listen, sleep } from "./store.mjs";
 
 /** Upstreams of a service queue a few requests beyond their slots. */
 const queueLength = 12;
@@ -46,7 +46,7 @@
     this.born = Date.now();
     this.port = port ?? await findFreePort();
     await listen(this.server, this.port);
-    this.address = `127.0.0.1:${this.port}`;
+    this.address = `${host}:${this.port}`;
   }
 
   /** Writes this upstream's entry. */
