--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -152,14 +152,13 @@
     throw new Error(`${daemon.name} is not ready`);
   }
 
-  /** Ends all processes that this script started. */
+  /** Ends all processes that this script started; writes their logs to the folder that `DAEMON_LOGS` names, if set. */
   async stop() {
     for (const { child } of this.daemons) child.kill("SIGKILL");
     await Promise.all(this.daemons.map(({ ended }) => ended));
-    if (process.env.DEBUG_LOGS) {
-      for (const { name, log } of this.daemons) {
-        writeFileSync(join(process.env.DEBUG_LOGS, `${name}.log`), log);
-      }
+    const logFolder = process.env.DAEMON_LOGS;
+    for (const { name, log } of logFolder ? this.daemons : []) {
+      writeFileSync(join(logFolder, `${name}.log`), log);
     }
     rmSync(this.#folder, { recursive: true, force: true });
   }
