--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -23,15 +23,15 @@
 const drainingShare = 0.25;
 /** Each of them reports it at its next heartbeat. */
 const heartbeatMs = 870;
-const drainMs = 2_000;
-const stableWindowMs = 3_000;
+const drainMs = 3_000;
+const stableWindowMs = 4_000;
 /** Time until the platform starts a killed process again, and how much it differs. */
 const restartDelayMs = { min: 500, spread: 300 };
 /** How long an upstream serves on after its report. */
-const servesOnMs = { min: 6_000, max: 14_000 };
-const requestsPerSecond = 200;
+const servesOnMs = { min: 8_000, max: 14_000 };
+const requestsPerSecond = 400;
 const trafficMs = 12_000;
-const workMs = 210;
+const workMs = 460;
 
 await runCase(
   dirname(fileURLToPath(import.meta.url)),
@@ -67,8 +67,8 @@
           host: "app.example",
           prefix: "/file/",
           kind: "unsafe",
-          timeout_ms: 4_000,
-          slo_ms: 600,
+          timeout_ms: 12_000,
+          slo_ms: 2_000,
           priority: 1,
           attempts: 2,
           service: "desk",
@@ -133,10 +133,10 @@
         headers: {
           host: "app.example",
           "x-request-id": id,
-          "x-timeout-ms": "4000",
+          "x-timeout-ms": "12000",
         },
         body: "order",
-        timeoutMs: 5_000,
+        timeoutMs: 13_000,
       });
       record.note("answered", { id, status, end });
     }
