Keep the hold of a restarted server until it is released

Cause: a renewal names a server's id and goes to its address, so a server that restarts in place accepts it until the directory shows the new incarnation. The granter took the newer start as the end of the former hold and removed it in its next plan, without its expiry and without an answer to the release that it had sent.

The fake servers can now answer a release only when running requests have ended.

Change: such a hold is removed at once only if the newer incarnation registered at another address, where no renewal can have reached it. Otherwise the server answers a release, or the hold expires.

--- a/src/services/keyspace/key_granter_test.ts
+++ b/src/services/keyspace/key_granter_test.ts
@@ -356,6 +356,36 @@
     });
   });
 
+  describe("when servers restart under their id and address, and register late", () => {
+    /** Long enough that renewals for the previous incarnation reach the new one. */
+    const registrationDelayMs = 1_400;
+
+    for (let seed = 1; seed <= 4; seed++) {
+      // Guards against the loss of a hold that the new incarnation has by a
+      // renewal meant for the previous one.
+      it(`grants no key that the new incarnation still holds (seed ${seed})`, async () => {
+        const { fleet, servers } = await startFleet(seed, {
+          daemons: 2,
+          servers: 6,
+        });
+        fleet.servers.runningMs = 300;
+        for (const server of servers.slice(0, 3)) {
+          // With fewer slots, it owns fewer keys than before.
+          const restarted = { ...server, bornAtMs: 2, slotCount: 1 };
+          fleet.servers.add(restarted);
+          fleet.clock.after(
+            registrationDelayMs,
+            () => fleet.register(restarted),
+          );
+        }
+        await fleet.clock.advance(registrationDelayMs + 3_000);
+        assertUniqueHolders(fleet);
+        assert.is(fleet.servers.heldFraction(), 1);
+        await fleet.stop();
+      });
+    }
+  });
+
   describe("under random sequences of faults", () => {
     enum Fault {
       CrashServer,
--- a/src/services/keyspace/service_granter.ts
+++ b/src/services/keyspace/service_granter.ts
@@ -191,11 +191,18 @@
     return ranges.all.every(({ hold }) => hold === undefined);
   }
 
-  /** Whether a newer incarnation of the server has registered, so that the process of `server` has ended and holds no keys. */
+  /**
+   * Whether a newer incarnation of the server has registered at another
+   * address, so that nobody holds keys by grants to `server`. At the same
+   * address the newer one accepts renewals that are sent before its start is
+   * known, and must release their keys.
+   */
   #isReplaced(server: ServerRef): boolean {
     const registered = this.#services.get(ServiceName.Directory)
       .tryGet(server.id);
-    return registered !== undefined && registered.bornAtMs > server.bornAtMs;
+    return registered !== undefined &&
+      registered.bornAtMs > server.bornAtMs &&
+      registered.address !== server.address;
   }
 
   /** Writes the rows whose ranges differ from those in the store. */
--- a/src/testing/fake_key_servers.ts
+++ b/src/testing/fake_key_servers.ts
@@ -68,9 +68,17 @@
     return true;
   }
 
-  /** Releases the keys of an interval; never refused. */
-  release(interval: KeyInterval): void {
-    for (const key of this.keysOf(interval)) this.held.delete(key);
+  /** Releases the keys of an interval; never refused. Requests of these keys run until `endsAtMs`. */
+  release(
+    interval: KeyInterval,
+    { nowMs, endsAtMs }: { readonly nowMs: number; readonly endsAtMs: number },
+  ): void {
+    for (const key of this.keysOf(interval)) {
+      const held = this.held.get(key);
+      if (held === undefined) continue;
+      held.expiresAtMs = Math.min(held.expiresAtMs, endsAtMs);
+      if (held.expiresAtMs <= nowMs) this.held.delete(key);
+    }
   }
 
   /** The tracked keys of an interval. */
@@ -89,6 +97,8 @@
   readonly servers = new Map<string, FakeKeyServer>();
   /** Fraction of the grants that get no answer and are accepted late. */
   lateGrantFraction = 0;
+  /** Time for which requests of released keys still run. */
+  runningMs = 0;
   grantCount = 0;
   readonly #clock: Clock;
   readonly #nextFraction: () => number;
@@ -147,8 +157,9 @@
     if (server === undefined || !server.isUp || server.isCutOff) {
       return { ending: KeyCommandEnding.Refused, detail: "out of reach" };
     }
-    server.release(interval);
-    await this.#clock.sleep(latencyMs);
+    const nowMs = this.#clock.nowMs();
+    server.release(interval, { nowMs, endsAtMs: nowMs + this.runningMs });
+    await this.#clock.sleep(latencyMs + this.runningMs);
     return {
       ending: KeyCommandEnding.Accepted,
       handoverToken: `token-${interval.first}`,
--- a/standins/fleet/key_server_standin.ts
+++ b/standins/fleet/key_server_standin.ts
@@ -170,7 +170,11 @@
 
   #release(response: ServerResponse, body: string): void {
     const { from, to } = JSON.parse(body) as { from: number; to: number };
-    this.keyServer.release({ first: from, last: to });
+    const nowMs = performance.now();
+    this.keyServer.release(
+      { first: from, last: to },
+      { nowMs, endsAtMs: nowMs },
+    );
     response.writeHead(statusOk, { "x-handover": `${from}-${to}` }).end();
   }
 
