--- a/src/host/row_store.ts
+++ b/src/host/row_store.ts
@@ -32,7 +32,10 @@
   readonly storeTimeMs: number;
 }
 
-/** A consistent snapshot of rows. */
+/**
+ * Rows of a table that include every change up to the version. A table that is
+ * read with more than one call may include some of the later changes.
+ */
 export interface RowsAnswer extends StoreSnapshot {
   readonly rows: readonly StoredRow[];
 }
--- a/standins/fleet/row_store_standin.ts
+++ b/standins/fleet/row_store_standin.ts
@@ -17,6 +17,9 @@
 import { configurationKey, tables } from "../../platform/names.ts";
 import { FakeRows } from "../../src/testing/fake_row_store.ts";
 
+/** Maximum number of rows in one answer. */
+const maxPageRowCount = 500;
+
 const statusOk = 200;
 const statusUnavailable = 503;
 const statusNotFound = 404;
@@ -89,9 +92,7 @@
     const name = `${request.method} ${url.pathname}`;
     switch (name) {
       case "GET /api/rows-get":
-        return this.#answer(response, statusOk, {
-          rows: this.#select(url.searchParams).map(encodeRow),
-        });
+        return this.#answer(response, statusOk, this.#select(url.searchParams));
       case "GET /api/rows-feed":
         return await this.#feed(response, url.searchParams);
       case "POST /api/rows-tx":
@@ -101,12 +102,16 @@
     }
   }
 
-  #select(query: URLSearchParams): StoredRow[] {
+  #select(query: URLSearchParams): object {
     const from = query.get("from") ?? "";
-    const limit = Number(query.get("limit") ?? 500);
-    return this.rows.rowsOf(query.get("table") ?? "")
-      .filter(({ key }) => key >= from)
-      .slice(0, limit);
+    const limit = Number(query.get("limit") ?? maxPageRowCount);
+    const rows = this.rows.rowsOf(query.get("table") ?? "")
+      .filter(({ key }) => key >= from);
+    const pageRowCount = Math.min(limit, maxPageRowCount);
+    return {
+      rows: rows.slice(0, pageRowCount).map(encodeRow),
+      has_more: rows.length > pageRowCount,
+    };
   }
 
   async #feed(response: ServerResponse, query: URLSearchParams): Promise<void> {
