Keep the end of the last answers from being reset

Callers saw: around a planned stop, an answer that had been sent whole ended early or was missing, although its request had run (LOST).

Cause: the last answer of a connection has "Connection: close", and Node closes the connection as soon as the answer is in the send buffer. Bytes that the caller sends later, such as a pipelined request, reset a closed connection, and a reset discards what is still in the buffer or on its way.

Evidence: the new test (the fleet daemon > while it leaves > sends the whole last answer to a caller that sends another request behind it) failed before: 195,584 of 900,000 bytes arrived.

Change: the daemon closes its sending side only, and reads and discards what the caller sends until the caller closes its side or a second has passed. A daemon that leaves waits for that within its grace time. Requests on a connection that closes are read and dropped, so that they leave no unread bytes.

--- a/src/daemon/fleet_daemon_test.ts
+++ b/src/daemon/fleet_daemon_test.ts
@@ -424,6 +424,25 @@
       await fleet.stop();
     });
 
+    // Guards against a reset that discards the end of the last answer.
+    it("sends the whole last answer to a caller that sends another request behind it", async () => {
+      const fleet = await startFleet(1);
+      const [daemon] = fleet.daemons as [SmallDaemon];
+      const paddingBytes = 900_000;
+      for (const server of fleet.servers) server.paddingBytes = paddingBytes;
+      try {
+        const leaving = daemon.kernel.get(ServiceName.Gateway).leave();
+        const byteCounts = await Promise.all(
+          Array.from({ length: 8 }, () => sendBehindLastAnswer(daemon)),
+        );
+        const smallest = Math.min(...byteCounts);
+        assert.ok(smallest > paddingBytes, `${smallest} bytes`);
+        await leaving;
+      } finally {
+        await fleet.stop();
+      }
+    });
+
     it("sends large answers to slow callers completely", async () => {
       const fleet = await startFleet(1);
       const [daemon] = fleet.daemons as [SmallDaemon];
@@ -483,6 +502,44 @@
   });
 }
 
+/**
+ * Sends a request and, from the first byte of its answer on, further requests
+ * until the daemon closes the connection; resolves with the number of bytes
+ * that were received.
+ */
+async function sendBehindLastAnswer(daemon: SmallDaemon): Promise<number> {
+  const socket = connect(daemon.callersPort, "127.0.0.1");
+  let byteCount = 0;
+  let isClosed = false;
+  socket.on("error", () => {});
+  for (const event of ["end", "close"]) {
+    socket.on(event, () => isClosed = true);
+  }
+  const send = () =>
+    void socket.write(
+      "GET /roster/x HTTP/1.1\r\nHost: app.example\r\n" +
+        `X-Request-Id: behind-${++requestCount}\r\n` +
+        "X-Timeout-Ms: 2000\r\nX-Shard-Key: 9\r\n\r\n",
+    );
+  send();
+  await new Promise<void>((resolve) => {
+    socket.on("data", (chunk) => {
+      byteCount += chunk.length;
+      resolve();
+    });
+  });
+  while (!isClosed) {
+    // Reads slowly, as over a long link.
+    socket.pause();
+    send();
+    await delay(5);
+    socket.resume();
+    await delay(1);
+  }
+  socket.destroy();
+  return byteCount;
+}
+
 /** Pipelines requests on one connection; resolves with everything that was received. */
 function pipeline(daemon: SmallDaemon, count: number): Promise<string> {
   return new Promise((resolve, reject) => {
--- a/src/services/gateway/http_gateway.ts
+++ b/src/services/gateway/http_gateway.ts
@@ -122,7 +122,11 @@
     await clock.sleep(leaveNoticeMs);
     if (this.#callerServer !== undefined) stopListening(this.#callerServer);
     this.#closeIdleConnections();
-    while (this.#activeCount > 0 && clock.nowMs() < endAtMs) {
+    // A connection stays open for a moment after its last answer, so that the
+    // end of the process doesn't reset it.
+    const isDone = () =>
+      this.#activeCount === 0 && this.#openConnections.size === 0;
+    while (!isDone() && clock.nowMs() < endAtMs) {
       await clock.sleep(leavePollIntervalMs);
       this.#closeIdleConnections();
     }
@@ -155,7 +159,10 @@
       noDelay: true,
     });
     server.on("connection", (socket: Socket) => {
-      const connection = new CallerConnection(socket);
+      const connection = new CallerConnection(
+        socket,
+        this.#services!.get(ServiceName.Clock),
+      );
       this.#connections.set(socket, connection);
       this.#openConnections.add(connection);
       socket.once("close", () => this.#openConnections.delete(connection));
@@ -192,7 +199,7 @@
   ): Promise<void> {
     const services = this.#services!;
     const connection = this.#connections.get(request.socket)!;
-    if (connection.isClosing) return;
+    if (connection.isClosing) return void request.resume();
     const body = createBody(request, {
       maxBytes: this.#limits().maxBodyBytes,
       memory: this.#bodyMemory,
