Take no requests on open connections late in a planned stop

Callers saw: after a SIGTERM, reads that had run at a server ended with a closed connection and no answer (LOST).

Cause: a daemon that leaves closes a connection with the answer to its newest request. A caller that sends each request before the answer to the last one always has a newer request in flight, so that none of its answers closed the connection: its requests were taken until the process ended.

Change: when the daemon stops accepting connections, 2.8 s after the signal, it also takes no further requests on open ones, so that the newest one taken closes its connection. A request whose body is still arriving is refused as not run.

--- a/src/daemon/fleet_daemon_test.ts
+++ b/src/daemon/fleet_daemon_test.ts
@@ -443,6 +443,30 @@
       }
     });
 
+    // Guards against requests that are taken on a pipelined connection until
+    // the process ends, and are then cut off.
+    it("takes no request that it will not answer from callers that always have one in flight", async () => {
+      const fleet = await startFleet(1);
+      const [daemon] = fleet.daemons as [SmallDaemon];
+      try {
+        const received = Promise.all(
+          Array.from({ length: 8 }, () => pipelineUntilClosed(daemon)),
+        );
+        await daemon.kernel.get(ServiceName.Gateway).leave();
+        await daemon.kernel.stop();
+        const answers = (await received).join("");
+        const unanswered = fleet.servers
+          .flatMap(({ executions }) => executions)
+          .filter(({ requestId }) =>
+            !answers.includes(`answer to ${requestId}`)
+          );
+        assert.is(unanswered.length, 0);
+        assert.is(answers.match(/connection: close/gi)?.length, 8);
+      } finally {
+        await fleet.stop();
+      }
+    });
+
     it("sends large answers to slow callers completely", async () => {
       const fleet = await startFleet(1);
       const [daemon] = fleet.daemons as [SmallDaemon];
@@ -540,6 +564,32 @@
   return byteCount;
 }
 
+/**
+ * Sends requests on one connection, each before the answer to the previous one,
+ * until the daemon closes it; resolves with everything that was received.
+ */
+async function pipelineUntilClosed(daemon: SmallDaemon): Promise<string> {
+  const socket = connect(daemon.callersPort, "127.0.0.1");
+  let received = "";
+  let isClosed = false;
+  socket.on("data", (chunk) => received += String(chunk));
+  socket.on("error", () => {});
+  for (const event of ["end", "close"]) {
+    socket.on(event, () => isClosed = true);
+  }
+  while (!isClosed) {
+    socket.write(
+      "GET /roster/x HTTP/1.1\r\nHost: app.example\r\n" +
+        `X-Request-Id: stream-${++requestCount}-\r\n` +
+        `X-Timeout-Ms: 2000\r\nX-Shard-Key: ${requestCount * 997 % 65_536}` +
+        "\r\n\r\n",
+    );
+    await delay(serviceTimeMs / 2);
+  }
+  socket.destroy();
+  return received;
+}
+
 /** Pipelines requests on one connection; resolves with everything that was received. */
 function pipeline(daemon: SmallDaemon, count: number): Promise<string> {
   return new Promise((resolve, reject) => {
--- a/src/services/gateway/http_gateway.ts
+++ b/src/services/gateway/http_gateway.ts
@@ -41,12 +41,14 @@
 /** How often Node checks for connections that exceed the header timeout. */
 const timeoutCheckIntervalMs = 1_000;
 /**
- * Time for which new connections are accepted after the readiness check starts
- * to fail; the load balancer needs two checks to notice the failure.
+ * Time for which connections and requests are accepted after the readiness check
+ * starts to fail; the load balancer needs two checks to notice the failure.
  */
 const leaveNoticeMs = 2_800;
 /** Part of the grace time that is reserved for the end of the process on a slow machine. */
 const leaveReserveMs = 800;
+/** Retry delay for a caller whose request this daemon no longer takes; other daemons take it at once. */
+const leavingRetryAfterMs = 50;
 /** Interval of polling for the end of the in-flight requests. */
 const leavePollIntervalMs = 50;
 
@@ -77,6 +79,7 @@
   #callerServer: Server | undefined;
   #readinessServer: Server | undefined;
   #activeCount = 0;
+  #isAccepting = true;
   #writer: AnswerWriter | undefined;
   #stallDetector: StallDetector | undefined;
 
@@ -120,7 +123,7 @@
     const endAtMs = startedAtMs + this.#options.graceMs - leaveReserveMs;
     this.#writer!.isLeaving = true;
     await clock.sleep(leaveNoticeMs);
-    if (this.#callerServer !== undefined) stopListening(this.#callerServer);
+    this.#stopAccepting();
     this.#closeIdleConnections();
     // A connection stays open for a moment after its last answer, so that the
     // end of the process doesn't reset it.
@@ -145,6 +148,13 @@
     return Promise.resolve();
   }
 
+  /** Takes no more connections and no more requests; the last answer of each connection closes it. */
+  #stopAccepting(): void {
+    this.#isAccepting = false;
+    if (this.#callerServer !== undefined) stopListening(this.#callerServer);
+    for (const connection of this.#openConnections) connection.isClosing = true;
+  }
+
   #closeIdleConnections(): void {
     for (const connection of this.#openConnections) connection.closeIfIdle();
   }
@@ -268,6 +278,14 @@
           .write(LogEvent.RequestBodyTruncated, { reason: read.error });
         return void response.destroy();
       }
+      // Too little of the grace time may be left for a body that arrived late.
+      if (!this.#isAccepting) {
+        return this.#writer!.refuse(exchange, {
+          status: statusUnavailable,
+          reason: "the daemon is leaving",
+          retryAfterMs: leavingRetryAfterMs,
+        });
+      }
       body = read.value ?? exchange.body;
     }
     const service = routing.chooseService(route);
