Remember the hold of a server to which keys return

Two backend servers may have held the same keys (OWNER): keys that move from A to B, return to A before B has its grant, and move on to C without a delivered grant to A, were granted to C while A's former hold was in force.

Cause: a target that is also a former holder needs no release, so its former hold was dropped, and the new hold began without an end. Nothing was left to wait for when the keys moved on.

Change: the hold of a target begins with the ends and fences of its earlier holds. A newer incarnation at the same address counts as the same process, so that keys that stay with a restarted server need no release.

--- a/src/services/keyspace/key_ranges.ts
+++ b/src/services/keyspace/key_ranges.ts
@@ -117,18 +117,19 @@
       const formerHolds = range.hold === undefined || !wasGranted(range.hold)
         ? range.formerHolds
         : [...range.formerHolds, range.hold];
+      // A target that is also a former holder needs no release, because its new
+      // grant replaces the former one.
+      const earlierHolds = formerHolds.filter(({ server }) =>
+        isSameProcess(server, target)
+      );
       return {
         ...range,
-        hold: createHold(target),
+        hold: createHold(target, earlierHolds),
         fence: this.#nextFence(),
         isGranted: false,
         isServing: false,
         isRecorded: false,
-        // A target that is also a former holder needs no release, because its
-        // new grant replaces the former one.
-        formerHolds: formerHolds.filter(({ server }) =>
-          incarnationOf(server) !== incarnation
-        ),
+        formerHolds: formerHolds.filter((hold) => !earlierHolds.includes(hold)),
         handoverToken: undefined,
       };
     });
@@ -221,7 +222,7 @@
   return range.hold !== undefined && range.formerHolds.length === 0;
 }
 
-/** Whether any grant of the hold was sent. */
+/** Whether any grant to the server was sent that may still be in effect. */
 function wasGranted(hold: Hold): boolean {
   return hold.endsAtMs > -Infinity;
 }
@@ -240,12 +241,20 @@
   return range.isGranted && range.isServing && range.formerHolds.length === 0;
 }
 
-function createHold(server: ServerRef): Hold {
+/** Whether commands to either server reach the same process: both are the same incarnation, or the newer one runs at the address of the other. */
+function isSameProcess(a: ServerRef, b: ServerRef): boolean {
+  return a.id === b.id && a.address === b.address;
+}
+
+/** The hold of a new target. Its earlier holds last until it accepts its grant, and may outlast a grant that is not delivered. */
+function createHold(server: ServerRef, earlierHolds: readonly Hold[]): Hold {
+  const latest = (read: (hold: Hold) => number) =>
+    Math.max(-Infinity, ...earlierHolds.map(read));
   return {
     server,
-    endsAtMs: -Infinity,
-    unansweredEndsAtMs: -Infinity,
-    unansweredFence: -Infinity,
+    endsAtMs: latest(({ endsAtMs }) => endsAtMs),
+    unansweredEndsAtMs: latest(({ unansweredEndsAtMs }) => unansweredEndsAtMs),
+    unansweredFence: latest(({ unansweredFence }) => unansweredFence),
     isReleased: false,
   };
 }
--- /dev/null
+++ b/src/services/keyspace/key_ranges_test.ts
@@ -0,0 +1,64 @@
+import * as assert from "uvu/assert";
+import { describe, it } from "../../testing/describe.ts";
+import { keyCount } from "../../types/routing.ts";
+import type { ServerRef } from "./fleet_rows.ts";
+import { isGrantable, KeyRanges } from "./key_ranges.ts";
+
+const holdEndsAtMs = 4_000;
+const allKeys = { first: 0, last: keyCount - 1 };
+
+function createServer(id: string, bornAtMs = 1): ServerRef {
+  return { id, bornAtMs, address: `${id}:80` };
+}
+
+const a = createServer("a");
+const b = createServer("b");
+const c = createServer("c");
+
+/** Ranges of which all keys are held by `server` until `holdEndsAtMs`. */
+function createHeldRanges(server: ServerRef): KeyRanges {
+  let fence = 0;
+  const ranges = new KeyRanges({
+    nextFence: () => ++fence,
+    records: [],
+    inheritedEndsAtMs: -Infinity,
+    toLocalTime: (storeMs) => storeMs,
+  });
+  ranges.move({ ...allKeys, target: server });
+  const [range] = ranges.all;
+  range!.isGranted = true;
+  range!.hold!.endsAtMs = holdEndsAtMs;
+  return ranges;
+}
+
+describe("KeyRanges", () => {
+  describe("when keys return to a former holder before another server had them", () => {
+    function moveThereAndBack(returnsTo: ServerRef): KeyRanges {
+      const ranges = createHeldRanges(a);
+      ranges.move({ ...allKeys, target: b });
+      ranges.move({ ...allKeys, target: returnsTo });
+      return ranges;
+    }
+
+    it("are granted to it without a release", () => {
+      assert.ok(isGrantable(moveThereAndBack(a).all[0]!));
+    });
+
+    // Guards against a hold that is forgotten since its server is the target.
+    it("are not granted to a third server before the former hold has ended", () => {
+      const ranges = moveThereAndBack(a);
+      ranges.move({ ...allKeys, target: c });
+      ranges.removeEndedHolds(holdEndsAtMs - 1, () => false);
+      assert.not(isGrantable(ranges.all[0]!));
+      ranges.removeEndedHolds(holdEndsAtMs, () => false);
+      assert.ok(isGrantable(ranges.all[0]!));
+    });
+
+    it("are granted to a newer incarnation at the same address without a release", () => {
+      const ranges = moveThereAndBack(createServer("a", 2));
+      assert.ok(isGrantable(ranges.all[0]!));
+      ranges.move({ ...allKeys, target: c });
+      assert.not(isGrantable(ranges.all[0]!));
+    });
+  });
+});
