Pipeline in the soak, and check cut reads of planned operations

The soak did not see the requests that a leaving daemon took until its end. Its callers never had two requests in flight on a connection, since their HTTP client holds a request back while a "blocking" one is unanswered, which is its default; and reads that were cut off were not checked.

Change: reads are marked as not blocking, four of twelve callers always have requests in flight, and a read that ran and ended without any answer during planned operations is a violation. A read that ends with 502 or 504 may be sent again, and is none.

Seed 100 with 12 s is a regression seed.

--- a/src/proof/soak/guarantee_checker.ts
+++ b/src/proof/soak/guarantee_checker.ts
@@ -77,9 +77,11 @@
       report(`answered with ${JSON.stringify(record.answerBody)}`);
     }
   }
-  const isLost = record.status === undefined || record.status === 502 ||
-    record.status === 504;
-  if (isPlannedOnly && isNonIdempotent && isLost && executions.length > 0) {
+  // A read that ends with 502 or 504 may be sent again.
+  const isCutOff = record.status === undefined;
+  const isLost = isCutOff ||
+    (isNonIdempotent && (record.status === 502 || record.status === 504));
+  if (isPlannedOnly && isLost && executions.length > 0) {
     report(
       `lost in planned work (${record.error ?? `status ${record.status}`}), ` +
         `though it ran at ${listServers(executions)}`,
--- a/src/proof/soak/guarantee_checker_test.ts
+++ b/src/proof/soak/guarantee_checker_test.ts
@@ -93,6 +93,25 @@
     });
   });
 
+  describe("for idempotent requests during a planned operation", () => {
+    const read = { ...record, method: "GET" };
+    const executions = [{ ...execution, method: "GET" }];
+
+    it("reports an answer that was cut off", () => {
+      const cutOff = { ...read, status: undefined, error: "closed" };
+      assertViolation(
+        { records: [cutOff], executions, isPlannedOnly: true },
+        /lost in planned work \(closed\)/,
+      );
+    });
+
+    it("accepts a failure, after which the read may be sent again", () => {
+      const failed = { ...read, status: 502 };
+      const evidence = { records: [failed], executions, isPlannedOnly: true };
+      assert.equal(check(evidence), []);
+    });
+  });
+
   describe("for answers", () => {
     it("reports a success without an execution", () => {
       assertViolation({ executions: [] }, /signature i-1:a of no run/);
--- a/src/proof/soak/regression_seeds.ts
+++ b/src/proof/soak/regression_seeds.ts
@@ -16,4 +16,10 @@
     lengthMs: 8_000,
     cause: "a SIGHUP ended a daemon during its startup",
   },
+  {
+    seed: 100,
+    lengthMs: 12_000,
+    cause:
+      "a daemon that was shutting down took requests on pipelined connections until its process ended",
+  },
 ];
--- a/src/proof/soak/soak_callers.ts
+++ b/src/proof/soak/soak_callers.ts
@@ -1,6 +1,7 @@
 /**
  * Callers of one run, one task each. A caller keeps its connection until a
- * request on it fails, and then connects to a random daemon.
+ * request on it fails, and then connects to a random daemon. Some callers send
+ * in turns; others always have a request in flight.
  */
 import { setTimeout as delay } from "node:timers/promises";
 import {
@@ -17,11 +18,17 @@
 import { watchedKeys } from "./soak_servers.ts";
 
 const callerCount = 12;
+/** How many of the callers always have a request in flight on their connection. */
+const overlappingCallerCount = 4;
 /** How long a caller waits for an answer. */
 export const callerTimeoutMs = 3_000;
 const turnPauseMs = 40;
 /** Maximum number of requests that a caller sends in one turn without waiting for answers. */
 const pipelineDepth = 3;
+/** Time between two requests of an overlapping caller; shorter than the servers take for a request. */
+const overlappingPauseMs = 5;
+/** Maximum number of requests that an overlapping caller has in flight. */
+const overlappingDepth = 8;
 /** Fraction of the turns that send a non-idempotent request. */
 const nonIdempotentFraction = 0.4;
 
@@ -40,7 +47,13 @@
 
   /** Starts one task for each caller. */
   start(): void {
-    this.#tasks = Array.from({ length: callerCount }, () => this.#runCaller());
+    this.#tasks = Array.from(
+      { length: callerCount },
+      (_, i) =>
+        i < overlappingCallerCount
+          ? this.#runOverlappingCaller()
+          : this.#runCaller(),
+    );
   }
 
   /** Starts no more turns; resolves when the in-flight requests have ended. */
@@ -66,13 +79,36 @@
     await caller.close();
   }
 
-  #connect(): CallerStandin {
+  /** Sends reads, each before the answer to the previous one, until one fails. */
+  async #runOverlappingCaller(): Promise<void> {
+    const { signal } = this.#stopping;
+    while (!signal.aborted) {
+      const caller = this.#connect(overlappingDepth);
+      const inFlight = new Set<Promise<void>>();
+      let hasFailed = false;
+      while (!hasFailed && !signal.aborted) {
+        const task = caller.send(this.#createRead()).then((record) => {
+          this.records.push(record);
+          hasFailed ||= !isSuccess(record);
+          inFlight.delete(task);
+        });
+        inFlight.add(task);
+        await delay(overlappingPauseMs);
+        if (inFlight.size >= overlappingDepth) await Promise.race(inFlight);
+      }
+      await Promise.all(inFlight);
+      await caller.close();
+      await delay(turnPauseMs);
+    }
+  }
+
+  #connect(pipelining = pipelineDepth): CallerStandin {
     const daemon = pickByFraction(this.#daemons, this.#random.nextFraction());
     return new CallerStandin({
       daemonIndex: daemon.index,
       port: daemon.callersPort,
       timeoutMs: callerTimeoutMs,
-      pipelining: pipelineDepth,
+      pipelining,
     });
   }
 
@@ -83,10 +119,14 @@
       return [{ method: nonIdempotentMethod, path: "/pay/confirm", body }];
     }
     const count = 1 + random.nextInt(pipelineDepth);
-    return Array.from({ length: count }, () => ({
+    return Array.from({ length: count }, () => this.#createRead());
+  }
+
+  #createRead(): CallerRequest {
+    return {
       method: "GET",
       path: "/roster/list",
-      key: pickByFraction(watchedKeys, random.nextFraction()),
-    }));
+      key: pickByFraction(watchedKeys, this.#random.nextFraction()),
+    };
   }
 }
--- a/standins/fleet/caller_standin.ts
+++ b/standins/fleet/caller_standin.ts
@@ -126,6 +126,8 @@
         method: method as "GET" | "POST",
         path,
         body: body ?? null,
+        // Otherwise the client sends no request before this one is answered.
+        blocking: method !== "GET",
         headers: {
           host: callerHost,
           [headerNames.requestId]: id,
