Reset connections whose answer without a length breaks off

Callers saw: a large answer without a length that its server broke off ended with an orderly close, and looked complete (MIXED).

Cause: such an answer is passed on while it arrives. When it broke off, the response was destroyed, which closes the caller's connection with a FIN; where only the end of the connection marks the end of the answer, that completes it. The end of the process did the same.

Both tests (the fleet daemon > when an answer without a length does not arrive whole) failed before, with "end" in place of ECONNRESET.

Change: such an answer is written by code of its own, and any failure resets the connection, the deadline included; a daemon that stops resets the connections of those that it is still writing.

--- a/src/daemon/fleet_daemon_test.ts
+++ b/src/daemon/fleet_daemon_test.ts
@@ -407,6 +407,47 @@
     });
   });
 
+  describe("when an answer without a length does not arrive whole", () => {
+    /** More than is buffered before the caller gets any byte. */
+    const paddingBytes = 1_500_000;
+
+    async function startBreakingFleet(breakOffDelayMs: number) {
+      const fleet = await startFleet(1);
+      for (const server of fleet.servers) {
+        server.fault = ServerFault.BreaksOffUnframed;
+        Object.assign(server, { paddingBytes, breakOffDelayMs });
+      }
+      return fleet;
+    }
+
+    // Guards against part of an answer that looks complete.
+    it("resets the caller's connection when the server breaks off", async () => {
+      const fleet = await startBreakingFleet(20);
+      try {
+        const { byteCount, end } = await readToEnd(fleet.daemons[0]!);
+        assert.ok(byteCount > 0);
+        assert.is(end, "ECONNRESET");
+      } finally {
+        await fleet.stop();
+      }
+    });
+
+    // Guards against part of an answer that looks complete.
+    it("resets the caller's connection when the daemon stops", async () => {
+      const fleet = await startBreakingFleet(60_000);
+      try {
+        const { byteCount, end } = await readToEnd(
+          fleet.daemons[0]!,
+          () => void fleet.daemons[0]!.kernel.stop(),
+        );
+        assert.ok(byteCount > 0);
+        assert.is(end, "ECONNRESET");
+      } finally {
+        await fleet.stop();
+      }
+    });
+  });
+
   describe("while it leaves", () => {
     it("answers the requests that it receives and closes their connections", async () => {
       const fleet = await startFleet(1);
@@ -503,6 +544,29 @@
     .filter(({ requestId }) => requestId === id);
 }
 
+/** Sends a request; resolves with the number of received bytes and "end" or the code of the error that ended the connection. */
+function readToEnd(
+  daemon: SmallDaemon,
+  onFirstBytes: () => void = () => {},
+): Promise<{ readonly byteCount: number; readonly end: string }> {
+  return new Promise((resolve) => {
+    const socket = connect(daemon.callersPort, "127.0.0.1");
+    let byteCount = 0;
+    socket.once("data", onFirstBytes);
+    socket.on("data", (chunk) => byteCount += chunk.length);
+    socket.on("end", () => resolve({ byteCount, end: "end" }));
+    socket.on(
+      "error",
+      (error: NodeJS.ErrnoException) =>
+        resolve({ byteCount, end: error.code ?? error.message }),
+    );
+    socket.write(
+      "GET /roster/large HTTP/1.1\r\nHost: app.example\r\n" +
+        "X-Request-Id: large\r\nX-Timeout-Ms: 2000\r\nX-Shard-Key: 9\r\n\r\n",
+    );
+  });
+}
+
 /** Sends requests on one connection and starts to read the answers after a pause; resolves with the number of bytes. */
 function readSlowly(
   daemon: SmallDaemon,
--- a/src/services/gateway/answer_writer.ts
+++ b/src/services/gateway/answer_writer.ts
@@ -2,6 +2,7 @@
  * Writes answers of backend servers and refusals of the daemon to callers, and
  * logs and measures the outcome of each request.
  */
+import { once } from "node:events";
 import { pipeline, Readable } from "node:stream";
 import { LogEvent } from "../../diagnostics/log_events.ts";
 import { endWithBody } from "../../streams/end_with_body.ts";
@@ -89,15 +90,38 @@
     }
     response.writeHead(status, [...headers, ...length]);
     if (!(body instanceof Readable)) return endWithBody(response, body);
+    if (endsWithConnection) return void this.#writeUnframed(exchange, body);
     pipeline(body, response, (error) => {
       if (!error) return;
-      this.#services.get(ServiceName.Log).write(LogEvent.AnswerTruncated, {
-        reason: error.message,
-      });
+      this.#logTruncated(error);
       response.destroy();
     });
   }
 
+  /** Writes a body whose end is marked only by the end of the connection; resets the connection if the body breaks off. */
+  async #writeUnframed(
+    { response, connection }: Exchange,
+    body: Readable,
+  ): Promise<void> {
+    connection.isAnswerUnframed = true;
+    const signal = connection.disconnectSignal;
+    try {
+      for await (const chunk of body) {
+        if (!response.write(chunk)) await once(response, "drain", { signal });
+      }
+      response.end();
+    } catch (error) {
+      this.#logTruncated(error as Error);
+      connection.reset();
+    }
+  }
+
+  #logTruncated(error: Error): void {
+    this.#services.get(ServiceName.Log).write(LogEvent.AnswerTruncated, {
+      reason: error.message,
+    });
+  }
+
   /** Answers a request with a refusal of the daemon. */
   refuse(exchange: Exchange, refusal: Refusal): void {
     const { response } = exchange;
--- a/src/services/gateway/caller_connection.ts
+++ b/src/services/gateway/caller_connection.ts
@@ -15,6 +15,8 @@
   pendingCount = 0;
   /** The connection is about to close; its further requests are ignored. */
   isClosing = false;
+  /** Only the end of the connection marks the end of the answer that is being written. */
+  isAnswerUnframed = false;
   readonly #socket: Socket;
   readonly #clock: Clock;
   #newestSequenceNumber = 0;
@@ -49,6 +51,12 @@
     this.#closeSending();
   }
 
+  /** Ends the connection with a reset, by which the caller sees that an answer without a length is incomplete. */
+  reset(): void {
+    this.isClosing = true;
+    this.#socket.resetAndDestroy();
+  }
+
   /** Closes the sending side, and discards what the caller still sends until it closes its own side. */
   #closeSending(): void {
     const socket = this.#socket;
--- a/standins/fleet/key_server_standin.ts
+++ b/standins/fleet/key_server_standin.ts
@@ -35,6 +35,8 @@
   Fails = "fails",
   /** Sends part of an answer and resets the connection. */
   BreaksOff = "breaks-off",
+  /** Sends part of an answer without a length and resets the connection after `breakOffDelayMs`. */
+  BreaksOffUnframed = "breaks-off-unframed",
   /** Sends bytes that are not an HTTP response. */
   Garbles = "garbles",
   /** Sends a second answer after the first. */
@@ -77,6 +79,8 @@
   readonly server: Server;
   readonly executions: Execution[] = [];
   fault = ServerFault.None;
+  /** How long the connection of a broken-off answer without a length stays open. */
+  breakOffDelayMs = 20;
   /** Number of bytes that are added to each answer. */
   paddingBytes = 0;
   /** Whether the answers announce that the server is about to stop. */
@@ -253,6 +257,13 @@
         });
         response.write(body.slice(0, -2));
         return void setTimeout(() => socket.resetAndDestroy(), 1);
+      case ServerFault.BreaksOffUnframed:
+        response.useChunkedEncodingByDefault = false;
+        response.writeHead(statusOk, fields).write(body.slice(0, -2));
+        return void setTimeout(
+          () => socket.resetAndDestroy(),
+          this.breakOffDelayMs,
+        );
       case ServerFault.Fails:
         return void response.writeHead(statusInternalError, fields).end(body);
       case ServerFault.AnswersTwice:
