Close the connections of a drain only with their newest answer

Callers of the product's own edition saw: while a daemon drained, pipelined requests behind the first one were cut off without an answer, although they had been delivered (LOST).

Cause: every answer of a draining daemon had "Connection: close", whether or not requests behind it had been taken, and requests behind it were still taken.

Evidence: HttpEntry > while it starts or drains > answers pipelined requests before it closes their connection failed before: the answer to the second of three requests was missing.

Change: only the answer to the newest request closes the connection, and no request is taken after it.

--- a/src/services/entry/caller_connections.ts
+++ b/src/services/entry/caller_connections.ts
@@ -25,9 +25,12 @@
 export class CallerConnections {
   readonly #exchanges = new WeakMap<Duplex, Set<HttpExchange>>();
   readonly #refusedSockets = new WeakSet<Duplex>();
+  readonly #newestExchanges = new WeakMap<Duplex, HttpExchange>();
+  readonly #closingSockets = new WeakSet<Duplex>();
 
   add(exchange: HttpExchange): void {
     const { socket } = exchange.request;
+    this.#newestExchanges.set(socket, exchange);
     const existing = this.#exchanges.get(socket);
     if (existing !== undefined) existing.add(exchange);
     else this.#exchanges.set(socket, new Set([exchange]));
@@ -37,6 +40,22 @@
     this.#exchanges.get(exchange.request.socket)?.delete(exchange);
   }
 
+  /**
+   * Lets the answer of an exchange close its connection, unless requests behind
+   * it were taken; returns whether it does. No request is taken after that.
+   */
+  tryCloseAfter(exchange: HttpExchange): boolean {
+    const { socket } = exchange.request;
+    if (this.#newestExchanges.get(socket) !== exchange) return false;
+    this.#closingSockets.add(socket);
+    return true;
+  }
+
+  /** Whether an answer that closes the connection is being written. */
+  isClosing(socket: Duplex): boolean {
+    return this.#closingSockets.has(socket);
+  }
+
   /** Whether the connection was refused; the refusal is recorded already. */
   isRefused(exchange: HttpExchange): boolean {
     return this.#refusedSockets.has(exchange.request.socket);
--- a/src/services/entry/http_caller.ts
+++ b/src/services/entry/http_caller.ts
@@ -29,8 +29,8 @@
   readonly connections: CallerConnections;
   /** Whether the caller waits for `100 Continue` before it sends the body. */
   readonly expectsContinue: boolean;
-  /** Whether connections should be closed after the answer. */
-  readonly isDraining: () => boolean;
+  /** Whether the answer, which is about to be written, closes the connection. */
+  readonly closesConnection: () => boolean;
 }
 
 /** Serves one request; never rejects. */
@@ -46,7 +46,7 @@
   const result = await context.services.get(ServiceName.RequestPipeline)
     .run(routed, cancellation.signal);
   if (result.isErr()) {
-    const closesConnection = context.isDraining();
+    const closesConnection = context.closesConnection();
     sendRefusal(response, result.error, { requestId, closesConnection });
     return;
   }
@@ -81,7 +81,7 @@
     });
     if (context.connections.isRefused(exchange)) return undefined;
     services.get(ServiceName.RequestPipeline).reject({ requestId }, failure);
-    const closesConnection = !request.complete || context.isDraining();
+    const closesConnection = !request.complete || context.closesConnection();
     sendRefusal(response, failure, { requestId, closesConnection });
     return undefined;
   }
@@ -104,7 +104,9 @@
     () => response.destroy(),
   );
   try {
-    if (context.isDraining()) response.setHeader("connection", "close");
+    if (context.closesConnection()) {
+      response.setHeader("connection", "close");
+    }
     response.writeHead(answer.status, {
       ...selectAnswerHeaders(answer.headers),
       [requestIdHeader]: requestId,
--- a/src/services/entry/http_entry.ts
+++ b/src/services/entry/http_entry.ts
@@ -148,6 +148,10 @@
   ): Promise<void> {
     const services = this.#services!;
     const lifecycle = services.get(ServiceName.Lifecycle);
+    const { request } = exchange;
+    if (this.#connections.isClosing(request.socket)) {
+      return void request.resume();
+    }
     if (tryAnswerStatusPath(exchange, lifecycle)) return;
     this.#connections.add(exchange);
     this.#active.begin();
@@ -157,7 +161,9 @@
         bounds: this.#options,
         connections: this.#connections,
         expectsContinue,
-        isDraining: () => lifecycle.state() === DaemonState.Draining,
+        closesConnection: () =>
+          lifecycle.state() === DaemonState.Draining &&
+          this.#connections.tryCloseAfter(exchange),
       });
     } finally {
       this.#active.end();
--- a/src/services/entry/http_entry_test.ts
+++ b/src/services/entry/http_entry_test.ts
@@ -484,6 +484,21 @@
       assert.match(await answer, /connection: close\r\n[^]*whole/);
     });
 
+    // Guards against a first answer that closes the connection of requests
+    // behind it, which were delivered.
+    it("answers pipelined requests before it closes their connection", () =>
+      withEntry(async (entry) => {
+        entry.lifecycle.current = DaemonState.Draining;
+        const answer = await entry.exchange(
+          createHead("/roster/first") + createHead("/roster/second") +
+            createHead("/roster/last"),
+        );
+        for (const { key } of entry.delivery.delivered) {
+          assert.match(answer, new RegExp(`roster/${key}`));
+        }
+        assert.is(answer.match(/connection: close/gi)?.length, 1);
+      }));
+
     it("stops waiting after the drain timeout", async () => {
       const entry = new LoopbackEntry({ drainTimeoutMs: 20 });
       await entry.start();
