Pass resets on in the links of the soak

No daemon was at fault: over a link of its own, without the proxy, the reset is noticed (ServerCalls > send > detects a reset during an answer without a length).

Change: a link passes a reset on as a reset, and also resets where it cuts connections.

--- a/src/proof/soak/loopback_proxy.ts
+++ b/src/proof/soak/loopback_proxy.ts
@@ -71,7 +71,7 @@
   }
 
   #closeAll(): void {
-    for (const socket of this.#sockets) socket.destroy();
+    for (const socket of this.#sockets) socket.resetAndDestroy();
   }
 
   #accept(caller: Socket): void {
@@ -80,8 +80,9 @@
     for (const [socket, other] of [[caller, listener], [listener, caller]]) {
       this.#sockets.add(socket!);
       socket!.setNoDelay(true);
-      // An error or close of either socket destroys the other; errors are expected under faults.
-      socket!.on("error", () => other!.destroy());
+      // Errors are expected under faults. A reset is passed on as such, since an
+      // orderly close would complete an answer without a length.
+      socket!.on("error", () => other!.resetAndDestroy());
       socket!.once("close", () => {
         this.#sockets.delete(socket!);
         other!.destroy();
@@ -106,7 +107,7 @@
     from.once("end", () => {
       hasEnded = true;
       // Bytes that the fault holds back are lost when their sender closes.
-      if (this.#isBlocked(direction)) to.destroy();
+      if (this.#isBlocked(direction)) to.resetAndDestroy();
       changed.notify();
     });
     from.once("close", () => changed.notify());
