--- a/src/proof/soak/run_soak.ts
+++ b/src/proof/soak/run_soak.ts
@@ -47,8 +47,13 @@
   LinkFault.OneWay,
   LinkFault.Silent,
 ];
+/** A link ends a connection that was reset in an orderly way, which completes an answer without a length. */
+const unusedServerFaults: ReadonlySet<ServerFault> = new Set([
+  ServerFault.None,
+  ServerFault.BreaksOffWithoutLength,
+]);
 const serverFaults = Object.values(ServerFault)
-  .filter((fault) => fault !== ServerFault.None);
+  .filter((fault) => !unusedServerFaults.has(fault));
 
 /** The result of one run. */
 export interface SoakReport {
