Log when a daemon has no source of tables, and how each version came

Change: `tables cut off` and `tables connected again` mark the time without a source, and `configuration in force` has `source` and `silentMs`. No decision depends on them. Tests: StoreTableFeed, while neither the store nor a relay answers.

--- a/src/cli/logs/request_timeline.ts
+++ b/src/cli/logs/request_timeline.ts
@@ -37,6 +37,8 @@
   LogEvent.ConfigurationInForce,
   LogEvent.TableFeedLost,
   LogEvent.TableFeedEstablished,
+  LogEvent.TablesConnected,
+  LogEvent.TablesCutOff,
   LogEvent.TablesRelayed,
   LogEvent.TablesReadFromStore,
   LogEvent.KeyGranterUnreachable,
--- a/src/diagnostics/log_events.ts
+++ b/src/diagnostics/log_events.ts
@@ -71,6 +71,8 @@
   StepFailed = "step failed",
   StoppedCoordinating = "stopped coordinating",
   SyncRequestRefused = "sync request refused",
+  TablesConnected = "tables connected again",
+  TablesCutOff = "tables cut off",
   TableFeedEstablished = "table feed established",
   TableFeedLost = "table feed lost",
   TableHistoryDiscarded = "table history gone",
@@ -197,8 +199,16 @@
   },
   [LogEvent.ConfigurationInForce]: {
     level: LogLevel.Info,
-    fields: ["version", "versionBefore", "routeCount", "rowVersion"],
-    meaning: "the configuration changed from `versionBefore` to `version`",
+    fields: [
+      "version",
+      "versionBefore",
+      "routeCount",
+      "rowVersion",
+      "source",
+      "silentMs",
+    ],
+    meaning:
+      "the configuration changed from `versionBefore` to `version`; `source` supplied it, and `silentMs` earlier the copy was last known to be current",
     advice: "",
   },
   [LogEvent.ConfigurationEntriesUnusable]: {
@@ -248,6 +258,21 @@
       "the store has discarded the changes after the version of this copy; the table is read again in full",
     advice: "",
   },
+  [LogEvent.TablesCutOff]: {
+    level: LogLevel.Warn,
+    fields: ["tables", "version"],
+    meaning:
+      "the store does not answer for these tables, and the key granter does not relay them; changes after `version` are not known",
+    advice:
+      "compare `table feed lost` and `key granter out of reach` before it, and look at the store and at the granter's machine",
+  },
+  [LogEvent.TablesConnected]: {
+    level: LogLevel.Info,
+    fields: ["isRelayed", "cutOffMs"],
+    meaning:
+      "the store, or the key granter if `isRelayed`, supplies the tables again after `cutOffMs`",
+    advice: "",
+  },
   [LogEvent.TablesRelayed]: {
     level: LogLevel.Info,
     fields: [],
--- a/src/services/feeds/store_table_feed.ts
+++ b/src/services/feeds/store_table_feed.ts
@@ -20,6 +20,7 @@
   type TableUpdates,
 } from "./table_feed.ts";
 import { createStopController } from "../../streams/stop_controller.ts";
+import { TableSource, type UpdateOrigin } from "./update_origin.ts";
 
 /** Longest wait of one long poll; bounds how long a dead connection goes unnoticed. */
 const longPollWaitMs = 4_000;
@@ -54,6 +55,7 @@
   readonly stopping: AbortController;
   /** Whether the store, or the relay, answered the last call for this table. */
   isAnswered: boolean;
+  /** Zero while the last call was answered. */
   retryDelayMs: number;
   /** The task that updates the copy. */
   task: Promise<void>;
@@ -73,6 +75,7 @@
 /** Follows tables in the store or through a relay. */
 export class StoreTableFeed extends TableFeed {
   override readonly changed = new ChangeSignal();
+  override readonly cutOffChanged = new ChangeSignal();
   readonly #tables = new Map<string, FollowedTable>();
   readonly #sourceChanged = new ChangeSignal();
   /** Notified when the store answers again for some table. */
@@ -85,6 +88,8 @@
   #relayProbesStore = false;
   /** Whether the source of tables, either the relay or the store, has been decided. */
   #isSourceDecided = false;
+  /** Instant since which the daemon is cut off; undefined while it is not. */
+  #cutOffSinceMs: number | undefined;
   #readerCount = 1;
 
   override get dependencies(): readonly ServiceName[] {
@@ -158,6 +163,10 @@
     );
   }
 
+  override isCutOff(): boolean {
+    return this.#cutOffSinceMs !== undefined;
+  }
+
   override remainingFreshMs(maxAgeMs: number): number {
     const confirmedAtMs = [...this.#tables.values()]
       .map(({ copy }) => copy.confirmedAtMs);
@@ -180,8 +189,8 @@
     for (const [table, update] of updates) {
       const followed = this.#tables.get(table);
       if (followed === undefined) continue;
-      this.#recordAnswer(followed);
-      followed.copy.apply(update);
+      const origin = this.#recordAnswer(followed, TableSource.Granter);
+      followed.copy.apply(update, origin);
     }
     if (updates.size > 0) this.changed.notify();
   }
@@ -199,6 +208,7 @@
       this.#polling.abort();
       this.#polling = createStopController();
     }
+    this.#updateCutOff();
     this.#sourceChanged.notify();
   }
 
@@ -233,12 +243,12 @@
       .read(followed.table, { timeoutMs: readTimeoutMs });
     if (answer.isErr()) return answer.error;
     const { rows, version } = answer.value;
-    this.#recordAnswer(followed);
+    const origin = this.#recordAnswer(followed, TableSource.Store);
     followed.copy.apply({
       version,
       isSnapshot: true,
       changes: rows.map(toChange),
-    });
+    }, origin);
     this.changed.notify();
   }
 
@@ -262,8 +272,8 @@
     if (polling.aborted) return;
     if (answer.isErr()) return answer.error;
     const { changes, version } = answer.value;
-    this.#recordAnswer(followed);
-    copy.apply({ version, isSnapshot: false, changes });
+    const origin = this.#recordAnswer(followed, TableSource.Store);
+    copy.apply({ version, isSnapshot: false, changes }, origin);
     if (changes.length === 0) return;
     this.changed.notify();
     await this.#services!.get(ServiceName.Clock)
@@ -314,6 +324,7 @@
       maxRetryDelayMs,
       Math.max(firstRetryDelayMs, followed.retryDelayMs * 2),
     );
+    this.#updateCutOff();
     const delayMs = this.#chooseRetryDelayMs(followed);
     const randomFraction = services.get(ServiceName.Random).nextFraction();
     await this.#answersAgain.waitAtMost(services.get(ServiceName.Clock), {
@@ -338,20 +349,53 @@
     return probing === followed;
   }
 
-  #recordAnswer(followed: FollowedTable): void {
+  /** Records that the source answered for a table; returns the origin of what it sent. */
+  #recordAnswer(followed: FollowedTable, source: TableSource): UpdateOrigin {
     const nowMs = this.#nowMs();
-    const silentMs = nowMs - followed.copy.confirmedAtMs;
+    const elapsedMs = nowMs - followed.copy.confirmedAtMs;
+    const silentMs = Number.isFinite(elapsedMs)
+      ? Math.round(elapsedMs)
+      : undefined;
     followed.copy.confirmedAtMs = nowMs;
     followed.retryDelayMs = 0;
-    if (followed.isAnswered) return;
-    followed.isAnswered = true;
-    this.#answersAgain.notify();
-    this.#services!.get(ServiceName.Log).write(LogEvent.TableFeedEstablished, {
-      table: followed.table,
-      afterVersion: followed.copy.version,
-      silentMs: Number.isFinite(silentMs) ? Math.round(silentMs) : undefined,
-    });
-    if (silentMs > outageMs) followed.copy.noteStoreReachable();
+    this.#updateCutOff();
+    if (!followed.isAnswered) {
+      followed.isAnswered = true;
+      this.#answersAgain.notify();
+      this.#services!.get(ServiceName.Log)
+        .write(LogEvent.TableFeedEstablished, {
+          table: followed.table,
+          afterVersion: followed.copy.version,
+          silentMs,
+        });
+      if (elapsedMs > outageMs) followed.copy.noteStoreReachable();
+    }
+    return { source, silentMs };
+  }
+
+  #updateCutOff(): void {
+    const failing = this.#usesRelay
+      ? []
+      : [...this.#tables.values()].filter(({ retryDelayMs }) =>
+        retryDelayMs > 0
+      );
+    const isCutOff = failing.length > 0;
+    if (isCutOff === this.isCutOff()) return;
+    const nowMs = this.#nowMs();
+    const log = this.#services!.get(ServiceName.Log);
+    if (isCutOff) {
+      log.write(LogEvent.TablesCutOff, {
+        tables: failing.map(({ table }) => table).join(),
+        version: failing[0]!.copy.version,
+      });
+    } else {
+      log.write(LogEvent.TablesConnected, {
+        isRelayed: this.#usesRelay,
+        cutOffMs: Math.round(nowMs - this.#cutOffSinceMs!),
+      });
+    }
+    this.#cutOffSinceMs = isCutOff ? nowMs : undefined;
+    this.cutOffChanged.notify();
   }
 
   #nowMs(): number {
--- a/src/services/feeds/store_table_feed_test.ts
+++ b/src/services/feeds/store_table_feed_test.ts
@@ -1,7 +1,9 @@
 import * as assert from "uvu/assert";
+import { LogEvent } from "../../diagnostics/log_events.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import { describe, it } from "../../testing/describe.ts";
 import { GranterFleet } from "../../testing/granter_fleet.ts";
+import { TableSource } from "./update_origin.ts";
 
 const settleMs = 6_000;
 /** Number of readers in a large fleet, in which each daemon gathers changes for the longest time. */
@@ -55,6 +57,54 @@
     });
   });
 
+  describe("while neither the store nor a relay answers", () => {
+    async function startCutOffDaemon() {
+      const fleet = new GranterFleet(1);
+      await fleet.addDaemon();
+      await fleet.clock.advance(settleMs);
+      const { id, kernel, log } = await fleet.addDaemon();
+      await fleet.clock.advance(settleMs);
+      fleet.rows.cutOff.add(id);
+      await fleet.clock.advance(settleMs);
+      const eventsOf = (event: LogEvent) =>
+        log.lines.filter((line) => line.event === event);
+      return { fleet, id, eventsOf, feed: kernel.get(ServiceName.TableFeed) };
+    }
+
+    it("logs that it is cut off, and when it is connected again", async () => {
+      const { fleet, id, feed, eventsOf } = await startCutOffDaemon();
+      assert.is(feed.isCutOff(), true);
+      assert.is(eventsOf(LogEvent.TablesCutOff).length, 1);
+      fleet.rows.cutOff.delete(id);
+      await fleet.clock.advance(settleMs);
+      assert.is(feed.isCutOff(), false);
+      const [line] = eventsOf(LogEvent.TablesConnected);
+      assert.is(line?.fields.isRelayed, false);
+      await fleet.stop();
+    });
+
+    it("logs the source and the silence before the next version", async () => {
+      const { fleet, id, eventsOf } = await startCutOffDaemon();
+      fleet.configure(2);
+      fleet.rows.cutOff.delete(id);
+      await fleet.clock.advance(settleMs);
+      const { fields } = eventsOf(LogEvent.ConfigurationInForce).at(-1)!;
+      assert.is(fields.version, 2);
+      assert.is(fields.source, TableSource.Store);
+      assert.ok(Number(fields.silentMs) > settleMs - 1_000);
+      await fleet.stop();
+    });
+
+    it("is not cut off when a relay supplies the tables", async () => {
+      const { fleet, feed, eventsOf } = await startCutOffDaemon();
+      feed.setUsesRelay(true);
+      assert.is(feed.isCutOff(), false);
+      const [line] = eventsOf(LogEvent.TablesConnected);
+      assert.is(line?.fields.isRelayed, true);
+      await fleet.stop();
+    });
+  });
+
   describe("of a table that two services follow", () => {
     it("delivers the updates of the relay to both", async () => {
       const fleet = new GranterFleet(1);
--- a/src/services/feeds/table_copy.ts
+++ b/src/services/feeds/table_copy.ts
@@ -3,6 +3,7 @@
  * daemons' copies are updated. Several services may read one copy.
  */
 import type { RowChange, StoredRow } from "../../host/row_store.ts";
+import type { UpdateOrigin } from "./update_origin.ts";
 
 /** Number of changes kept for daemons whose copies lag; a copy that lacks older changes gets a snapshot. */
 const keptChangeCount = 2_000;
@@ -10,9 +11,9 @@
 /** Receives the rows of a table. */
 export interface TableReader {
   /** Receives a snapshot; rows that it does not contain were removed. */
-  onRows(rows: readonly StoredRow[]): void;
+  onRows(rows: readonly StoredRow[], origin: UpdateOrigin): void;
   /** Receives the rows that changed since the previous call. */
-  onChanges(changes: readonly RowChange[]): void;
+  onChanges(changes: readonly RowChange[], origin: UpdateOrigin): void;
   /** Called when the store answers for the first time, or again after an outage. */
   onStoreReachable?(): void;
 }
@@ -34,6 +35,7 @@
   #changes: RowChange[] = [];
   #changesAfter = 0;
   #version: number | undefined;
+  #lastOrigin: UpdateOrigin | undefined;
   /** Instant at which the copy was last known to be current. */
   confirmedAtMs = -Infinity;
 
@@ -45,7 +47,8 @@
   /** Adds a reader, which receives the current rows immediately if there are any. */
   addReader(reader: TableReader): void {
     this.#readers.add(reader);
-    if (this.#version !== undefined) reader.onRows([...this.#rows.values()]);
+    if (this.#lastOrigin === undefined) return;
+    reader.onRows([...this.#rows.values()], this.#lastOrigin);
   }
 
   removeReader(reader: TableReader): void {
@@ -63,10 +66,14 @@
   }
 
   /** Applies an update; an update older than the copy has no effect. */
-  apply(update: TableUpdate): void {
+  apply(update: TableUpdate, origin: UpdateOrigin): void {
     if (this.#version !== undefined && update.version < this.#version) return;
-    if (update.isSnapshot || this.#version === undefined) this.#replace(update);
-    else this.#extend(update);
+    this.#lastOrigin = origin;
+    if (update.isSnapshot || this.#version === undefined) {
+      this.#replace(update, origin);
+    } else {
+      this.#extend(update, origin);
+    }
   }
 
   /** Returns the update that a copy of the given version lacks. */
@@ -78,16 +85,16 @@
     return { version: this.#version ?? 0, isSnapshot, changes };
   }
 
-  #replace({ version, changes }: TableUpdate): void {
+  #replace({ version, changes }: TableUpdate, origin: UpdateOrigin): void {
     this.#rows.clear();
     for (const row of changes) this.#rows.set(row.key, row);
     this.#changes = [];
     this.#changesAfter = version;
     this.#version = version;
-    for (const reader of this.#readers) reader.onRows(changes);
+    for (const reader of this.#readers) reader.onRows(changes, origin);
   }
 
-  #extend({ version, changes }: TableUpdate): void {
+  #extend({ version, changes }: TableUpdate, origin: UpdateOrigin): void {
     this.#version = version;
     if (changes.length === 0) return;
     for (const change of changes) {
@@ -100,6 +107,6 @@
       this.#changesAfter = this.#changes[surplus - 1]!.version;
       this.#changes.splice(0, surplus);
     }
-    for (const reader of this.#readers) reader.onChanges(changes);
+    for (const reader of this.#readers) reader.onChanges(changes, origin);
   }
 }
--- a/src/services/feeds/table_copy_test.ts
+++ b/src/services/feeds/table_copy_test.ts
@@ -2,6 +2,9 @@
 import type { RowChange } from "../../host/row_store.ts";
 import { describe, it } from "../../testing/describe.ts";
 import { TableCopy } from "./table_copy.ts";
+import { TableSource } from "./update_origin.ts";
+
+const origin = { source: TableSource.Store, silentMs: 0 };
 
 function createChange(
   key: string,
@@ -39,13 +42,13 @@
     it("gives each the current rows when it joins, and later changes", () => {
       const { copy, rows } = createCopy();
       const changes = [createChange("a", 3), createChange("b", 4)];
-      copy.apply({ version: 5, isSnapshot: true, changes });
+      copy.apply({ version: 5, isSnapshot: true, changes }, origin);
       const laterRows = addReader(copy);
       copy.apply({
         version: 9,
         isSnapshot: false,
         changes: [createChange("a", 9, true)],
-      });
+      }, origin);
       assert.equal([...rows], [["b", 4]]);
       assert.equal([...laterRows], [["b", 4]]);
     });
@@ -57,12 +60,12 @@
       version: 5,
       isSnapshot: true,
       changes: [createChange("a", 3)],
-    });
+    }, origin);
     copy.apply({
       version: 9,
       isSnapshot: false,
       changes: [createChange("b", 7), createChange("a", 9, true)],
-    });
+    }, origin);
     assert.equal([...rows], [["b", 7]]);
     assert.is(copy.version, 9);
   });
@@ -73,12 +76,12 @@
       version: 9,
       isSnapshot: true,
       changes: [createChange("a", 9)],
-    });
+    }, origin);
     copy.apply({
       version: 5,
       isSnapshot: true,
       changes: [createChange("a", 3)],
-    });
+    }, origin);
     assert.equal([...rows], [["a", 9]]);
   });
 
@@ -89,16 +92,16 @@
       version: 5,
       isSnapshot: true,
       changes: [createChange("a", 3)],
-    });
-    target.copy.apply(source.copy.updateAfter(undefined));
+    }, origin);
+    target.copy.apply(source.copy.updateAfter(undefined), origin);
     source.copy.apply({
       version: 8,
       isSnapshot: false,
       changes: [createChange("b", 8)],
-    });
+    }, origin);
     const update = source.copy.updateAfter(target.copy.version);
     assert.is(update.isSnapshot, false);
-    target.copy.apply(update);
+    target.copy.apply(update, origin);
     assert.equal([...target.rows], [...source.rows]);
   });
 
@@ -108,7 +111,7 @@
       version: 50,
       isSnapshot: true,
       changes: [createChange("a", 3)],
-    });
+    }, origin);
     const update = copy.updateAfter(10);
     assert.is(update.isSnapshot, true);
     assert.is(update.changes.length, 1);
--- a/src/services/feeds/table_feed.ts
+++ b/src/services/feeds/table_feed.ts
@@ -35,6 +35,12 @@
   /** The version of each copy by table; undefined before the first snapshot. */
   abstract versions(): ReadonlyMap<string, number | undefined>;
 
+  /** Notified when `isCutOff` changes. */
+  abstract readonly cutOffChanged: ChangeSignal;
+
+  /** Whether the store does not answer for some table, and no relay supplies the tables. */
+  abstract isCutOff(): boolean;
+
   /** The time until the oldest copy reaches `maxAgeMs`; zero or negative when a copy is older. */
   abstract remainingFreshMs(maxAgeMs: number): number;
 
--- /dev/null
+++ b/src/services/feeds/update_origin.ts
@@ -0,0 +1,16 @@
+/** Where an update of a table's copy came from, and how old the copy was before it. */
+
+/** Who supplies a daemon with the changes of the store's tables. */
+export enum TableSource {
+  /** The daemon reads the store itself. */
+  Store = "store",
+  /** The key granter reads the store for the fleet. */
+  Granter = "granter",
+}
+
+/** The origin of one update. */
+export interface UpdateOrigin {
+  readonly source: TableSource;
+  /** Time since the copy was last known to be current; undefined for the first update. */
+  readonly silentMs: number | undefined;
+}
--- a/src/services/fleet/http_fleet_link_test.ts
+++ b/src/services/fleet/http_fleet_link_test.ts
@@ -36,6 +36,7 @@
 /** A feed whose copies were last confirmed at a given instant and never change. */
 class AgingFeed extends TableFeed {
   override readonly changed = new ChangeSignal();
+  override readonly cutOffChanged = new ChangeSignal();
   readonly #confirmedAtMs: number;
 
   constructor(confirmedAtMs: number) {
@@ -43,6 +44,10 @@
     this.#confirmedAtMs = confirmedAtMs;
   }
 
+  override isCutOff(): boolean {
+    return false;
+  }
+
   override follow(): Promise<void> {
     return Promise.resolve();
   }
--- a/src/services/routing/followed_routing.ts
+++ b/src/services/routing/followed_routing.ts
@@ -10,6 +10,7 @@
 import { ChangeSignal } from "../../streams/change_signal.ts";
 import type { Route, RoutingTable } from "../../types/routing.ts";
 import { followDependencies, FollowTask } from "../feeds/follow_task.ts";
+import type { UpdateOrigin } from "../feeds/update_origin.ts";
 import { RouteMatcher } from "./route_matcher.ts";
 import { Routing } from "./routing.ts";
 
@@ -34,9 +35,9 @@
     this.#following.start(services, {
       table: configurationTable,
       reader: {
-        onRows: (rows) => this.#apply(rows),
-        onChanges: (changes) =>
-          this.#apply(changes.filter(({ isRemoved }) => !isRemoved)),
+        onRows: (rows, origin) => this.#apply(rows, origin),
+        onChanges: (changes, origin) =>
+          this.#apply(changes.filter(({ isRemoved }) => !isRemoved), origin),
       },
     });
     return Promise.resolve();
@@ -58,14 +59,14 @@
     return this.#matcher!.chooseService(route);
   }
 
-  #apply(rows: readonly StoredRow[]): void {
+  #apply(rows: readonly StoredRow[], origin: UpdateOrigin): void {
     const tables = this.#services!.get(ServiceName.ControlTables);
     for (const row of rows) {
-      if (tables.isRoutingRow(row)) this.#applyRow(row);
+      if (tables.isRoutingRow(row)) this.#applyRow(row, origin);
     }
   }
 
-  #applyRow(row: StoredRow): void {
+  #applyRow(row: StoredRow, origin: UpdateOrigin): void {
     const services = this.#services!;
     const log = services.get(ServiceName.Log);
     const decoded = services.get(ServiceName.ControlTables)
@@ -91,6 +92,7 @@
       versionBefore,
       routeCount: table.routes.length,
       rowVersion: row.version,
+      ...origin,
     });
     if (defects.length > 0) {
       log.write(LogEvent.ConfigurationEntriesUnusable, {
