--- a/standins/fleet/row_store_standin.ts
+++ b/standins/fleet/row_store_standin.ts
@@ -50,10 +50,18 @@
   readonly value: string;
 }
 
+/** A listener of the store for one daemon, which the store can turn away. */
+export interface StoreEntrance {
+  readonly server: Server;
+  /** Whether the store refuses every call of this daemon. */
+  isTurnedAway: boolean;
+}
+
 /** The HTTP server of the simulated row store. */
 export class RowStoreStandin {
   readonly rows = new FakeRows(new SystemClock());
   readonly server: Server;
+  readonly #entrances: StoreEntrance[] = [];
   /** The cold rate of every service; null for none. */
   coldRequestsPerSecond: number | null = null;
   fault: StoreFault = { isDown: false, delayMs: 0, lostAnswerFraction: 0 };
@@ -64,6 +72,29 @@
     });
   }
 
+  /** Creates a listener for one daemon; the caller lets it listen. */
+  createEntrance(): StoreEntrance {
+    const entrance: StoreEntrance = {
+      isTurnedAway: false,
+      server: createServer((request, response) => {
+        if (entrance.isTurnedAway) {
+          return void response.writeHead(statusUnavailable).end();
+        }
+        this.#handle(request, response).catch(() => response.destroy());
+      }),
+    };
+    this.#entrances.push(entrance);
+    return entrance;
+  }
+
+  /** Closes all listeners and their connections. */
+  close(): void {
+    for (const { server } of [this, ...this.#entrances]) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+
   /** Writes the configuration row; each extra prefix adds a route. */
   writeConfiguration(
     version: number,
--- a/standins/fleet/small_fleet.ts
+++ b/standins/fleet/small_fleet.ts
@@ -11,7 +11,7 @@
 import { RecordingLog } from "../../src/testing/recording_log.ts";
 import type { ServerEntry } from "../../src/types/routing.ts";
 import { KeyServerStandin } from "./key_server_standin.ts";
-import { RowStoreStandin } from "./row_store_standin.ts";
+import { RowStoreStandin, type StoreEntrance } from "./row_store_standin.ts";
 import { SmallService } from "./small_configuration.ts";
 
 const host = "127.0.0.1";
@@ -21,6 +21,8 @@
 export interface SmallDaemon {
   readonly kernel: Kernel;
   readonly log: RecordingLog;
+  /** The daemon's own way to the store. */
+  readonly storeEntrance: StoreEntrance;
   readonly callersPort: number;
   readonly readinessPort: number;
 }
@@ -30,20 +32,16 @@
   readonly store = new RowStoreStandin();
   readonly servers: KeyServerStandin[] = [];
   readonly daemons: SmallDaemon[] = [];
-  #storeAddress = "";
+  /** The port of the store, for daemons that run in processes of their own. */
+  storePort = 0;
   #version = 1;
 
   /** Starts the store and writes the first configuration. */
   async start(): Promise<void> {
-    this.#storeAddress = `${host}:${await listen(this.store.server)}`;
+    this.storePort = await listen(this.store.server);
     this.configure();
   }
 
-  /** The port of the store, for daemons that run in processes of their own. */
-  get storePort(): number {
-    return Number(this.#storeAddress.split(":").at(-1));
-  }
-
   /** Writes the next version of the configuration; each extra prefix adds a route. */
   configure(extraPrefixes: readonly string[] = []): void {
     this.#version += 1;
@@ -84,12 +82,14 @@
     const callersPort = await findFreePort();
     const readinessPort = await findFreePort();
     const peerPort = await findFreePort();
+    const storeEntrance = this.store.createEntrance();
+    const storePort = await listen(storeEntrance.server);
     const settings: FleetSettings = {
       daemonId: `daemon-${this.daemons.length + 1}`,
       zone: "zone-a",
       callersAddress: { host, port: callersPort },
       readinessAddress: { host, port: readinessPort },
-      storeAddress: this.#storeAddress,
+      storeAddress: `${host}:${storePort}`,
       peerAddress: { host, port: peerPort },
       advertisedPeerAddress: `${host}:${peerPort}`,
       metricsAddress: undefined,
@@ -105,6 +105,7 @@
     const daemon = {
       kernel,
       log,
+      storeEntrance,
       callersPort,
       readinessPort,
     };
@@ -115,7 +116,8 @@
   /** Stops the daemons, the store and the backend servers. */
   async stop(): Promise<void> {
     await Promise.all(this.daemons.map(({ kernel }) => kernel.stop()));
-    for (const { server } of [this.store, ...this.servers]) {
+    this.store.close();
+    for (const { server } of this.servers) {
       server.close();
       server.closeAllConnections();
     }
