Let a daemon without store and granter copy the tables of any other daemon

What callers saw: on daemons that the store turned away together with the key granter, requests were handled by versions of the configuration that were replaced up to 9.6 s before; 7 s are allowed. They also missed drains of servers and owners of keys for that time.

Cause: changes reach a daemon from the store or from the key granter, and the daemon learns from the store who the key granter is. When the store turned away both, the lease passed to a daemon that the store served, but those that were turned away never heard of it, and had no third path. Class: the way to the substitute of a lost source leads through that source.

Change: daemons publish their addresses in their rows of the fleet's table. What others pass on does not count as an answer of the store, so that two cut-off daemons can't confirm each other's copies. Missing servers are kept for the usual time unless the other daemon's directory is complete.

--- a/src/cli/logs/request_timeline.ts
+++ b/src/cli/logs/request_timeline.ts
@@ -38,6 +38,7 @@
   LogEvent.TableFeedLost,
   LogEvent.TableFeedEstablished,
   LogEvent.TablesConnected,
+  LogEvent.TablesCopiedFromPeer,
   LogEvent.TablesCutOff,
   LogEvent.TablesRelayed,
   LogEvent.TablesReadFromStore,
--- a/src/daemon/create_fleet_daemon.ts
+++ b/src/daemon/create_fleet_daemon.ts
@@ -58,6 +58,7 @@
       new FollowedKeySpace({
         daemonId: settings.daemonId,
         coreCount: settings.coreCount,
+        peerAddress: settings.advertisedPeerAddress,
       }),
     )
     .register(new SharedColdServers({ daemonId: settings.daemonId }))
--- a/src/diagnostics/log_events.ts
+++ b/src/diagnostics/log_events.ts
@@ -71,6 +71,7 @@
   StepFailed = "step failed",
   StoppedCoordinating = "stopped coordinating",
   SyncRequestRefused = "sync request refused",
+  TablesCopiedFromPeer = "tables copied from a peer",
   TablesConnected = "tables connected again",
   TablesCutOff = "tables cut off",
   TableFeedEstablished = "table feed established",
@@ -262,10 +263,17 @@
     level: LogLevel.Warn,
     fields: ["tables", "version"],
     meaning:
-      "the store does not answer for these tables, and the key granter does not relay them; changes after `version` are not known",
+      "the store does not answer for these tables, and the key granter does not relay them; the daemon asks other daemons for the changes after `version`",
     advice:
       "compare `table feed lost` and `key granter out of reach` before it, and look at the store and at the granter's machine",
   },
+  [LogEvent.TablesCopiedFromPeer]: {
+    level: LogLevel.Info,
+    fields: ["peer", "version"],
+    meaning:
+      "while this daemon is cut off, another daemon supplies it with changes, so far up to `version` of the store",
+    advice: "",
+  },
   [LogEvent.TablesConnected]: {
     level: LogLevel.Info,
     fields: ["isRelayed", "cutOffMs"],
--- a/src/services/capacity/learned_capacities_test.ts
+++ b/src/services/capacity/learned_capacities_test.ts
@@ -37,6 +37,8 @@
   override isComplete(): boolean {
     return true;
   }
+  override expectReregistrations(): void {}
+
   override markComplete(): void {}
   override usableServers(): readonly ServerEntry[] {
     return this.#servers.map(({ entry }) => entry);
--- a/src/services/directory/directory.ts
+++ b/src/services/directory/directory.ts
@@ -24,6 +24,13 @@
   /** Marks the directory as complete, because another daemon with an equally recent copy reports that its directory is complete. */
   abstract markComplete(): void;
 
+  /**
+   * Keeps missing servers for a while, unless the directory is incomplete
+   * already, because the copy that lacks them may be recent after an outage of
+   * the store.
+   */
+  abstract expectReregistrations(): void;
+
   /** The servers of a service that accept new requests; none is in an evacuated data centre. */
   abstract usableServers(service: string): readonly ServerEntry[];
 
--- a/src/services/directory/followed_directory.ts
+++ b/src/services/directory/followed_directory.ts
@@ -116,6 +116,10 @@
     this.#deleteMissing();
   }
 
+  override expectReregistrations(): void {
+    if (this.isComplete()) this.#startReregistrationPeriod();
+  }
+
   async #followEvacuations(services: ServiceLookup): Promise<void> {
     const { signal } = this.#following;
     const evacuations = services.get(ServiceName.Evacuations);
--- a/src/services/feeds/store_table_feed.ts
+++ b/src/services/feeds/store_table_feed.ts
@@ -195,6 +195,15 @@
     if (updates.size > 0) this.changed.notify();
   }
 
+  override applyFromPeer(updates: TableUpdates): void {
+    for (const [table, update] of updates) {
+      const copy = this.#tables.get(table)?.copy;
+      const silentMs = copy && this.#silentMsOf(copy);
+      copy?.apply(update, { source: TableSource.Peer, silentMs });
+    }
+    if (updates.size > 0) this.changed.notify();
+  }
+
   override setUsesRelay(usesRelay: boolean): void {
     // A sync request to the previous granter may end after this daemon's term
     // as granter has begun. The daemon that relays tables reads the store.
@@ -351,12 +360,8 @@
 
   /** Records that the source answered for a table; returns the origin of what it sent. */
   #recordAnswer(followed: FollowedTable, source: TableSource): UpdateOrigin {
-    const nowMs = this.#nowMs();
-    const elapsedMs = nowMs - followed.copy.confirmedAtMs;
-    const silentMs = Number.isFinite(elapsedMs)
-      ? Math.round(elapsedMs)
-      : undefined;
-    followed.copy.confirmedAtMs = nowMs;
+    const silentMs = this.#silentMsOf(followed.copy);
+    followed.copy.confirmedAtMs = this.#nowMs();
     followed.retryDelayMs = 0;
     this.#updateCutOff();
     if (!followed.isAnswered) {
@@ -368,11 +373,19 @@
           afterVersion: followed.copy.version,
           silentMs,
         });
-      if (elapsedMs > outageMs) followed.copy.noteStoreReachable();
+      if (silentMs === undefined || silentMs > outageMs) {
+        followed.copy.noteStoreReachable();
+      }
     }
     return { source, silentMs };
   }
 
+  /** Time since a copy was last known to be current; undefined before the first answer. */
+  #silentMsOf({ confirmedAtMs }: TableCopy): number | undefined {
+    const silentMs = this.#nowMs() - confirmedAtMs;
+    return Number.isFinite(silentMs) ? Math.round(silentMs) : undefined;
+  }
+
   #updateCutOff(): void {
     const failing = this.#usesRelay
       ? []
--- a/src/services/feeds/table_feed.ts
+++ b/src/services/feeds/table_feed.ts
@@ -52,6 +52,9 @@
   /** Applies updates that the relay sent. */
   abstract applyRelayed(updates: TableUpdates): void;
 
+  /** Applies updates that another daemon passed on; this daemon stays cut off. */
+  abstract applyFromPeer(updates: TableUpdates): void;
+
   /** Sets whether tables come from the relay instead of the store. */
   abstract setUsesRelay(usesRelay: boolean): void;
 
--- a/src/services/feeds/update_origin.ts
+++ b/src/services/feeds/update_origin.ts
@@ -6,6 +6,8 @@
   Store = "store",
   /** The key granter reads the store for the fleet. */
   Granter = "granter",
+  /** Another daemon passes on what it knows while this daemon is cut off. */
+  Peer = "peer",
 }
 
 /** The origin of one update. */
--- a/src/services/fleet/http_fleet_link.ts
+++ b/src/services/fleet/http_fleet_link.ts
@@ -2,23 +2,19 @@
  * The fleet link over HTTP. One task long-polls the key granter with sync
  * requests; the granter answers as soon as a table has changed. A daemon that
  * cannot reach the granter, or whose granter cannot reach the store, reads the
- * store itself.
+ * store itself; if the store does not answer it either, it asks other daemons.
  */
-import {
-  Agent,
-  createServer,
-  request as startRequest,
-  type Server,
-} from "node:http";
+import { createServer, type Server } from "node:http";
 import { LogEvent } from "../../diagnostics/log_events.ts";
-import { LimitedSignal } from "../../host/limited_signal.ts";
 import { listen } from "../../host/listen.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import type { GranterRecord } from "../keyspace/fleet_rows.ts";
+import { FleetCallError, FleetCalls, FleetPath } from "./fleet_calls.ts";
 import { FleetLink } from "./fleet_link.ts";
+import { PeerExchange } from "./peer_exchange.ts";
 import { decodeSyncAnswer, encodeSyncRequest } from "./sync_codec.ts";
-import { readBytes, statusStale, SyncResponder } from "./sync_responder.ts";
+import { statusStale, SyncResponder } from "./sync_responder.ts";
 import { createStopController } from "../../streams/stop_controller.ts";
 
 /** Longest time for which the granter waits for a change before it answers. */
@@ -34,26 +30,12 @@
 const msPerSecond = 1_000;
 /** Consecutive failures after which the granter is suspected to be down. */
 const failureCountUntilSuspected = 2;
-const syncPath = "/sync";
-const statusOk = 200;
-
-/** The failure of a sync request. */
-class SyncError extends Error {
-  /** Status of the granter's answer; undefined when there was none. */
-  readonly status: number | undefined;
-
-  constructor(message: string, status?: number) {
-    super(message);
-    this.name = "SyncError";
-    this.status = status;
-  }
-}
 
 /** Exchanges load reports and table changes with the key granter over HTTP. */
 export class HttpFleetLink extends FleetLink {
   readonly #listenOptions: { readonly host: string; readonly port: number };
   readonly #stopping = createStopController();
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  readonly #calls = new FleetCalls();
   #server: Server | undefined;
   #failureCount = 0;
   /** Whether the last sync request was answered. */
@@ -62,7 +44,7 @@
   #capacityTerm: number | undefined;
   /** The newest version of its estimates of capacities that this daemon has. */
   #capacityVersion = 0;
-  #task: Promise<void> = Promise.resolve();
+  #tasks: Promise<unknown> = Promise.resolve();
 
   constructor(options: { readonly host: string; readonly port: number }) {
     super();
@@ -72,7 +54,9 @@
   override get dependencies(): readonly ServiceName[] {
     return [
       ServiceName.Clock,
+      ServiceName.Random,
       ServiceName.Log,
+      ServiceName.Metrics,
       ServiceName.TableFeed,
       ServiceName.Directory,
       ServiceName.KeySpace,
@@ -85,19 +69,25 @@
   override start(services: ServiceLookup): Promise<void> {
     const responder = new SyncResponder(services, this.#stopping.signal);
     const server = createServer((request, response) => {
-      void responder.answer(request, response);
+      void (request.url === FleetPath.Copies
+        ? responder.answerCopies(request, response)
+        : responder.answerSync(request, response));
     });
     this.#server = server;
-    this.#task = this.#run(services);
+    const exchange = new PeerExchange(services, {
+      calls: this.#calls,
+      signal: this.#stopping.signal,
+    });
+    this.#tasks = Promise.all([this.#run(services), exchange.run()]);
     return listen(server, this.#listenOptions);
   }
 
   override async stop(): Promise<void> {
     this.#stopping.abort();
-    this.#agent.destroy();
+    this.#calls.close();
     this.#server?.close();
     this.#server?.closeAllConnections();
-    await this.#task;
+    await this.#tasks;
   }
 
   async #run(services: ServiceLookup): Promise<void> {
@@ -151,7 +141,7 @@
   async #sync(
     services: ServiceLookup,
     { address, term }: GranterRecord,
-  ): Promise<SyncError | undefined> {
+  ): Promise<FleetCallError | undefined> {
     const feed = services.get(ServiceName.TableFeed);
     const directory = services.get(ServiceName.Directory);
     const capacities = services.get(ServiceName.Capacities);
@@ -160,9 +150,12 @@
     const controller = createStopController();
     void this.#abortWhenReplaced(services, { address, controller });
     try {
-      const bytes = await this.#post(
-        { address, signal: controller.signal },
-        encodeSyncRequest({
+      const bytes = await this.#calls.post({
+        address,
+        path: FleetPath.Sync,
+        timeoutMs: syncTimeoutMs,
+        signals: [this.#stopping.signal, controller.signal],
+        body: encodeSyncRequest({
           versions: feed.versions(),
           load: services.get(ServiceName.LoadReports).takeReport(),
           capacityReport: capacities.takeReport(),
@@ -172,7 +165,7 @@
           // daemon immediately receives the changes that it has missed.
           waitMs: this.#wasLastSyncAnswered ? syncWaitMs : 0,
         }),
-      );
+      });
       const answer = decodeSyncAnswer(bytes);
       feed.applyRelayed(answer.updates);
       if (answer.isDirectoryComplete) directory.markComplete();
@@ -184,9 +177,9 @@
         directory.noteLeaving(incarnation);
       }
     } catch (error) {
-      return error instanceof SyncError
+      return error instanceof FleetCallError
         ? error
-        : new SyncError((error as Error).message);
+        : new FleetCallError((error as Error).message);
     } finally {
       controller.abort();
     }
@@ -220,48 +213,4 @@
       services.get(ServiceName.KeyGranter).suspectLeaseHolder();
     }
   }
-
-  async #post(
-    { address, signal }: {
-      readonly address: string;
-      readonly signal: AbortSignal;
-    },
-    body: string,
-  ): Promise<Uint8Array> {
-    const limit = new LimitedSignal({
-      parents: [this.#stopping.signal, signal],
-      timeoutMs: syncTimeoutMs,
-    });
-    try {
-      return await this.#sendRequest(address, { body, signal: limit.signal });
-    } finally {
-      limit.dispose();
-    }
-  }
-
-  #sendRequest(
-    address: string,
-    { body, signal }: { readonly body: string; readonly signal: AbortSignal },
-  ): Promise<Uint8Array> {
-    const [host, port] = address.split(":");
-    return new Promise((resolve, reject) => {
-      const request = startRequest({
-        agent: this.#agent,
-        host: host!,
-        port: Number(port),
-        method: "POST",
-        path: syncPath,
-        signal,
-      });
-      request.on("error", reject);
-      request.on("response", (response) => {
-        readBytes(response).then((bytes) => {
-          if (response.statusCode === statusOk) return resolve(bytes);
-          const { statusCode } = response;
-          reject(new SyncError(`status ${statusCode}`, statusCode));
-        }, reject);
-      });
-      request.end(body);
-    });
-  }
 }
--- a/src/services/fleet/http_fleet_link_test.ts
+++ b/src/services/fleet/http_fleet_link_test.ts
@@ -4,6 +4,7 @@
 import * as assert from "uvu/assert";
 import { request } from "undici";
 import { findFreePort } from "../../../scripts/free_port.ts";
+import { SeededRandomSource } from "../../host/random_source.ts";
 import { SystemClock } from "../../host/system_clock.ts";
 import { Kernel } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
@@ -37,6 +38,9 @@
 class AgingFeed extends TableFeed {
   override readonly changed = new ChangeSignal();
   override readonly cutOffChanged = new ChangeSignal();
+  /** The versions of the updates that other daemons passed on. */
+  readonly passedOnVersions: (number | undefined)[] = [];
+  #isCutOff = false;
   readonly #confirmedAtMs: number;
 
   constructor(confirmedAtMs: number) {
@@ -45,7 +49,12 @@
   }
 
   override isCutOff(): boolean {
-    return false;
+    return this.#isCutOff;
+  }
+
+  setCutOff(isCutOff: boolean): void {
+    this.#isCutOff = isCutOff;
+    this.cutOffChanged.notify();
   }
 
   override follow(): Promise<void> {
@@ -69,6 +78,11 @@
   }
 
   override applyRelayed(): void {}
+
+  override applyFromPeer(updates: TableUpdates): void {
+    this.passedOnVersions.push(updates.get("servers")?.version);
+  }
+
   override setUsesRelay(): void {}
   override setRelayProbesStore(): void {}
   override setReaderCount(): void {}
@@ -101,6 +115,7 @@
 class EmptyKeySpace extends KeySpace {
   override readonly changed = new ChangeSignal();
   granterAddress: string | undefined;
+  peers: string[] = [];
 
   override isLoaded(): boolean {
     return true;
@@ -127,6 +142,10 @@
     return [];
   }
 
+  override peerAddresses(): readonly string[] {
+    return this.peers;
+  }
+
   override hasStrongerDaemon(): boolean {
     return false;
   }
@@ -144,6 +163,7 @@
 class KnownDirectory extends Directory {
   override readonly changed = new ChangeSignal();
   isMarkedComplete = false;
+  expectsReregistrations = false;
   readonly leaving = new Set<string>();
   readonly servers: ServerEntry[] = [];
   readonly #isComplete: boolean;
@@ -161,6 +181,10 @@
     return this.#isComplete;
   }
 
+  override expectReregistrations(): void {
+    this.expectsReregistrations = true;
+  }
+
   override markComplete(): void {
     this.isMarkedComplete = true;
   }
@@ -195,11 +219,13 @@
   const port = await findFreePort();
   const keySpace = new EmptyKeySpace();
   const directory = new KnownDirectory(options.isComplete);
+  const feed = new AgingFeed(performance.now() - options.copyAgeMs);
   const kernel = new Kernel()
     .register(new SystemClock())
+    .register(new SeededRandomSource(1))
     .register(new RecordingLog())
     .register(new StatsdMetrics({ address: undefined, daemonId: "daemon-1" }))
-    .register(new AgingFeed(performance.now() - options.copyAgeMs))
+    .register(feed)
     .register(directory)
     .register(keySpace)
     .register(new FixedGranter(options.isGranter))
@@ -207,7 +233,7 @@
     .register(new LearnedCapacities())
     .register(new HttpFleetLink({ host, port }));
   await kernel.start();
-  return { kernel, keySpace, directory, port };
+  return { kernel, keySpace, directory, feed, port };
 }
 
 /** Sends a sync request to a granter whose copies have the given age. */
@@ -332,6 +358,69 @@
     });
   });
 
+  describe("of a daemon that is cut off from store and granter", () => {
+    /** Longest time until a connected daemon among two others has been asked twice. */
+    const exchangeMs = 1_500;
+
+    /** Runs a cut-off daemon whose peers are one that is cut off as well and one that is not. */
+    async function withPeers(
+      { isComplete }: { readonly isComplete: boolean },
+      run: (
+        daemons: Record<
+          "lost" | "cutOff" | "connected",
+          Awaited<ReturnType<typeof startDaemon>>
+        >,
+      ) => Promise<void>,
+    ): Promise<void> {
+      const options = { isGranter: false, copyAgeMs: 0, isComplete };
+      const lost = await startDaemon(options);
+      const cutOff = await startDaemon(options);
+      const connected = await startDaemon(options);
+      cutOff.feed.setCutOff(true);
+      lost.keySpace.peers = [
+        `${host}:${await findFreePort()}`,
+        `${host}:${cutOff.port}`,
+        `${host}:${connected.port}`,
+      ];
+      lost.feed.setCutOff(true);
+      try {
+        await run({ lost, cutOff, connected });
+      } finally {
+        for (const { kernel } of [lost, cutOff, connected]) await kernel.stop();
+      }
+    }
+
+    it("copies the tables of the daemon that is connected", async () => {
+      await withPeers({ isComplete: true }, async ({ lost, connected }) => {
+        connected.directory.noteLeaving("server-1@5");
+        await delay(exchangeMs);
+        assert.ok(lost.feed.passedOnVersions.length >= 2);
+        assert.ok(lost.feed.passedOnVersions.every((v) => v === 1));
+        assert.is(lost.directory.isMarkedComplete, true);
+        assert.equal([...lost.directory.leaving], ["server-1@5"]);
+      });
+    });
+
+    it("keeps missing servers while that daemon's directory is incomplete", async () => {
+      await withPeers({ isComplete: false }, async ({ lost }) => {
+        await delay(exchangeMs);
+        assert.is(lost.directory.expectsReregistrations, true);
+        assert.is(lost.directory.isMarkedComplete, false);
+      });
+    });
+
+    it("asks nobody once it is connected again", async () => {
+      await withPeers({ isComplete: true }, async ({ lost }) => {
+        await delay(exchangeMs);
+        lost.feed.setCutOff(false);
+        await delay(syncPeriodMs + slackMs);
+        const countBefore = lost.feed.passedOnVersions.length;
+        await delay(exchangeMs);
+        assert.is(lost.feed.passedOnVersions.length, countBefore);
+      });
+    });
+  });
+
   describe("when another daemon becomes the granter", () => {
     it("syncs with the new granter at once although the previous one does not answer", async () => {
       const silentPort = await findFreePort();
--- a/src/services/fleet/sync_codec.ts
+++ b/src/services/fleet/sync_codec.ts
@@ -33,16 +33,25 @@
   readonly waitMs: number;
 }
 
-interface WireRequest {
+/** A daemon's request for the tables that another daemon knows. */
+export type CopiesRequest = Pick<
+  SyncRequest,
+  "versions" | "leavingIncarnations" | "waitMs"
+>;
+
+interface WireCopiesRequest {
   readonly versions: readonly (readonly [string, number | null])[];
+  readonly leaving?: readonly string[];
+  readonly waitMs: number;
+}
+
+interface WireRequest extends WireCopiesRequest {
   /** Releases before learned capacities need `work`. */
   readonly load: LoadReport & {
     readonly work?: Readonly<Record<string, never>>;
   };
   readonly measured?: CapacityReport;
   readonly capacityVersion?: number;
-  readonly leaving?: readonly string[];
-  readonly waitMs: number;
 }
 
 /** The key granter's answer to a sync request. */
@@ -74,30 +83,51 @@
 
 export function encodeSyncRequest(request: SyncRequest): string {
   const wire: WireRequest = {
-    versions: [...request.versions]
-      .map(([table, version]) => [table, version ?? null]),
+    ...toWireCopiesRequest(request),
     load: { ...request.load, work: {} },
     measured: request.capacityReport,
     ...(request.capacityVersion !== undefined &&
       { capacityVersion: request.capacityVersion }),
+  };
+  return JSON.stringify(wire);
+}
+
+export function encodeCopiesRequest(request: CopiesRequest): string {
+  return JSON.stringify(toWireCopiesRequest(request));
+}
+
+/** Decodes a request for copies; throws when it is malformed. */
+export function decodeCopiesRequest(text: string): CopiesRequest {
+  return fromWireCopiesRequest(JSON.parse(text) as WireCopiesRequest);
+}
+
+function toWireCopiesRequest(request: CopiesRequest): WireCopiesRequest {
+  return {
+    versions: [...request.versions]
+      .map(([table, version]) => [table, version ?? null]),
     ...encodeLeaving(request.leavingIncarnations),
     waitMs: request.waitMs,
   };
-  return JSON.stringify(wire);
 }
 
-/** Decodes a request; throws when it is malformed. */
-export function decodeSyncRequest(text: string): SyncRequest {
-  const wire = JSON.parse(text) as WireRequest;
+function fromWireCopiesRequest(wire: WireCopiesRequest): CopiesRequest {
   return {
     versions: new Map(
       wire.versions.map(([table, version]) => [table, version ?? undefined]),
     ),
+    leavingIncarnations: wire.leaving ?? [],
+    waitMs: wire.waitMs,
+  };
+}
+
+/** Decodes a request; throws when it is malformed. */
+export function decodeSyncRequest(text: string): SyncRequest {
+  const wire = JSON.parse(text) as WireRequest;
+  return {
+    ...fromWireCopiesRequest(wire),
     load: wire.load,
     capacityReport: wire.measured ?? {},
     capacityVersion: wire.capacityVersion,
-    leavingIncarnations: wire.leaving ?? [],
-    waitMs: wire.waitMs,
   };
 }
 
--- a/src/services/keyspace/fleet_rows.ts
+++ b/src/services/keyspace/fleet_rows.ts
@@ -30,6 +30,8 @@
 export interface DaemonRecord {
   /** Processor cores that the daemon may use. */
   readonly coreCount: number;
+  /** `host:port` under which peers reach the daemon; missing in rows of earlier releases. */
+  readonly address?: string;
 }
 
 /** One incarnation of a backend server, as rows refer to it. */
--- a/src/services/keyspace/followed_key_space.ts
+++ b/src/services/keyspace/followed_key_space.ts
@@ -44,6 +44,12 @@
   readonly changedAtMs: number;
 }
 
+/** A daemon's record, and the version of its row. */
+interface KnownDaemon {
+  readonly record: DaemonRecord;
+  readonly version: number;
+}
+
 /** The decoded content of a row that holds owners. */
 interface OwnersRow {
   readonly version: number;
@@ -58,7 +64,7 @@
   readonly #ownersByService = new Map<string, OwnersRow[]>();
   /** Version of the newest row, by service. */
   readonly #versionByService = new Map<string, number>();
-  readonly #daemons = new Map<string, DaemonRecord>();
+  readonly #daemons = new Map<string, KnownDaemon>();
   readonly #daemonId: string;
   readonly #ownRecord: DaemonRecord;
   #granter: GranterRecord | undefined;
@@ -66,11 +72,19 @@
   #services: ServiceLookup | undefined;
 
   constructor(
-    options: { readonly daemonId: string; readonly coreCount: number },
+    options: {
+      readonly daemonId: string;
+      readonly coreCount: number;
+      /** `host:port` under which peers reach this daemon. */
+      readonly peerAddress: string;
+    },
   ) {
     super();
     this.#daemonId = options.daemonId;
-    this.#ownRecord = { coreCount: options.coreCount };
+    this.#ownRecord = {
+      coreCount: options.coreCount,
+      address: options.peerAddress,
+    };
   }
 
   override get dependencies(): readonly ServiceName[] {
@@ -134,16 +148,24 @@
     return [...this.#daemons.keys()].map(parseDaemonRowKey);
   }
 
+  override peerAddresses(): readonly string[] {
+    const addresses = [...this.#daemons.values()]
+      .flatMap(({ record: { address } }) => address ?? []);
+    return [...new Set(addresses)]
+      .filter((address) => address !== this.#ownRecord.address);
+  }
+
   override hasStrongerDaemon(): boolean {
-    return [...this.#daemons.values()].some(({ coreCount }) =>
+    return [...this.#daemons.values()].some(({ record: { coreCount } }) =>
       coreCount >= this.#ownRecord.coreCount * strongerDaemonFactor
     );
   }
 
   override comparableDaemonCount(): number {
-    const comparable = [...this.#daemons.values()].filter(({ coreCount }) =>
-      coreCount * strongerDaemonFactor > this.#ownRecord.coreCount
-    );
+    const comparable = [...this.#daemons.values()]
+      .filter(({ record: { coreCount } }) =>
+        coreCount * strongerDaemonFactor > this.#ownRecord.coreCount
+      );
     return Math.max(1, comparable.length);
   }
 
@@ -151,26 +173,36 @@
     return this.#granter;
   }
 
-  /** Writes this daemon's row, unless an earlier process of the daemon has written it. */
+  /** Writes this daemon's row, unless it already says what this process would write. */
   async #registerDaemon(services: ServiceLookup): Promise<void> {
     const { signal } = this.#following;
     const clock = services.get(ServiceName.Clock);
     const key = daemonRowKey(this.#daemonId);
     while (!this.#isLoaded && !signal.aborted) await this.changed.wait(signal);
-    while (!signal.aborted && !this.#daemons.has(key)) {
+    while (!signal.aborted && !this.#isOwnRowCurrent(key)) {
       const written = await services.get(ServiceName.RowStore).transact({
-        conditions: [{ table: fleetTable, key, version: 0 }],
+        conditions: [{
+          table: fleetTable,
+          key,
+          version: this.#daemons.get(key)?.version ?? 0,
+        }],
         writes: [{
           table: fleetTable,
           key,
           value: encodeJson(this.#ownRecord),
         }],
       }, { timeoutMs: registrationTimeoutMs });
-      if (written.isOk()) return;
+      if (written.isOk() && written.value.isApplied) return;
       await clock.sleep(registrationRetryDelayMs, signal);
     }
   }
 
+  #isOwnRowCurrent(key: string): boolean {
+    const { coreCount, address } = this.#daemons.get(key)?.record ?? {};
+    return coreCount === this.#ownRecord.coreCount &&
+      address === this.#ownRecord.address;
+  }
+
   #apply(rows: readonly StoredRow[]): void {
     for (const row of rows) {
       try {
@@ -212,7 +244,10 @@
       case undefined:
         return;
       case FleetRowKind.Daemon:
-        this.#daemons.set(row.key, decodeJson(row) as DaemonRecord);
+        this.#daemons.set(row.key, {
+          record: decodeJson(row) as DaemonRecord,
+          version: row.version,
+        });
         return;
       case FleetRowKind.Granter:
         this.#granter = decodeJson(row) as GranterRecord;
--- a/src/services/keyspace/key_space.ts
+++ b/src/services/keyspace/key_space.ts
@@ -47,6 +47,9 @@
   /** The ids of the daemons in the fleet, as far as this daemon knows them; ids are only added. */
   abstract daemonIds(): readonly string[];
 
+  /** Where other daemons receive the fleet's calls (`host:port`), as far as this daemon knows; some may be gone. */
+  abstract peerAddresses(): readonly string[];
+
   /** Whether another daemon has far more processor cores than this one. */
   abstract hasStrongerDaemon(): boolean;
 
--- a/src/services/metrics/metrics.ts
+++ b/src/services/metrics/metrics.ts
@@ -36,6 +36,7 @@
   PlatformErrors = "platform.errors",
   PlatformWrites = "platform.writes",
   PlatformReads = "platform.reads",
+  CopiesFetchedFromPeer = "copies.fetched_from_peer",
   PeerErrors = "peers.errors",
   PeerUnauthorized = "peers.unauthorized",
   EvacuationsBegun = "evacuations.begun",
--- a/src/testing/granter_fleet.ts
+++ b/src/testing/granter_fleet.ts
@@ -86,7 +86,13 @@
       .register(new FollowedRouting())
       .register(new FollowedEvacuations())
       .register(new FollowedDirectory())
-      .register(new FollowedKeySpace({ daemonId: id, coreCount }))
+      .register(
+        new FollowedKeySpace({
+          daemonId: id,
+          coreCount,
+          peerAddress: `${id}:1`,
+        }),
+      )
       .register(new SharedColdServers({ daemonId: id }))
       .register(new LearnedCapacities())
       .register(
