Notice a silent way to the store before its silence stops being excused

Cause: a daemon that lost its relay sent the store a long poll of 4 s, as if it had just been answered, and gave it up after 4.6 s. The same holds for a daemon that reads the store itself and whose connection goes silent in a poll. Class: the age of the last answer of one path was taken for the state of another.

Evidence: `tables read from the store` at 4.9 s, `table feed lost` 4.6 s later on each of the daemons.

Change: a long poll waits 2 s, and the first one after the relay is lost 0.6 s, so that a path without answers is noticed after 2.6 s and 1.2 s. The platform excuses a lost connection for 3 s.

--- a/src/services/feeds/store_table_feed.ts
+++ b/src/services/feeds/store_table_feed.ts
@@ -22,8 +22,10 @@
 import { createStopController } from "../../streams/stop_controller.ts";
 import { TableSource, type UpdateOrigin } from "./update_origin.ts";
 
-/** Longest wait of one long poll; bounds how long a dead connection goes unnoticed. */
-const longPollWaitMs = 4_000;
+/** Longest wait of one long poll; bounds how long a dead connection goes unnoticed, together with the margin below. */
+const longPollWaitMs = 2_000;
+/** As `longPollWaitMs`, for the first poll after the relay is lost: whether the store can be reached is not known yet. */
+const firstLongPollWaitMs = 600;
 /** As `longPollWaitMs`, for the daemon that relays tables to the whole fleet. */
 const relayLongPollWaitMs = 600;
 /** Time that a slow store may take to answer beyond the long poll's wait. */
@@ -55,6 +57,8 @@
   readonly stopping: AbortController;
   /** Whether the store, or the relay, answered the last call for this table. */
   isAnswered: boolean;
+  /** Who answered last. */
+  lastSource: TableSource | undefined;
   /** Zero while the last call was answered. */
   retryDelayMs: number;
   /** The task that updates the copy. */
@@ -67,6 +71,7 @@
     copy: new TableCopy(),
     stopping: createStopController(),
     isAnswered: false,
+    lastSource: undefined,
     retryDelayMs: 0,
     task: Promise.resolve(),
   };
@@ -289,11 +294,14 @@
       .sleep(this.#coalesceMs(), signal);
   }
 
-  #longPollWaitMs({ isAnswered }: FollowedTable): number {
+  #longPollWaitMs({ isAnswered, lastSource }: FollowedTable): number {
     // After an outage, the first poll returns without waiting for changes, so
     // that the daemon knows immediately whether the store answers again.
     if (!isAnswered) return 0;
-    return this.#actsAsRelay ? relayLongPollWaitMs : longPollWaitMs;
+    if (this.#actsAsRelay) return relayLongPollWaitMs;
+    return lastSource === TableSource.Store
+      ? longPollWaitMs
+      : firstLongPollWaitMs;
   }
 
   #coalesceMs(): number {
@@ -362,6 +370,7 @@
   #recordAnswer(followed: FollowedTable, source: TableSource): UpdateOrigin {
     const silentMs = this.#silentMsOf(followed.copy);
     followed.copy.confirmedAtMs = this.#nowMs();
+    followed.lastSource = source;
     followed.retryDelayMs = 0;
     this.#updateCutOff();
     if (!followed.isAnswered) {
--- a/src/services/feeds/store_table_feed_test.ts
+++ b/src/services/feeds/store_table_feed_test.ts
@@ -105,6 +105,46 @@
     });
   });
 
+  describe("when open connections to the store go silent", () => {
+    /** After this time the platform excuses no connection that was lost. */
+    const excusedMs = 3_000;
+    const followedTableCount = 3;
+
+    for (let seed = 1; seed <= 6; seed++) {
+      it(`receives a change in time although it waits in a poll (seed ${seed})`, async () => {
+        const fleet = new GranterFleet(seed);
+        await fleet.addDaemon();
+        await fleet.clock.advance(settleMs);
+        const { kernel } = await fleet.addDaemon();
+        await fleet.clock.advance(settleMs + seed * 700);
+        fleet.rows.silenceWaitingPolls();
+        fleet.configure(2);
+        await fleet.clock.advance(excusedMs);
+        const routing = kernel.get(ServiceName.Routing);
+        assert.is(routing.currentTable()?.version, 2);
+        await fleet.stop();
+      });
+    }
+
+    it("notices in time that the store is silent when it loses the relay", async () => {
+      const fleet = new GranterFleet(1);
+      await fleet.addDaemon();
+      await fleet.clock.advance(settleMs);
+      const { kernel } = await fleet.addDaemon();
+      const feed = kernel.get(ServiceName.TableFeed);
+      await fleet.clock.advance(settleMs);
+      feed.setUsesRelay(true);
+      await fleet.clock.advance(settleMs);
+      fleet.rows.silentPollCount = followedTableCount;
+      feed.setUsesRelay(false);
+      await fleet.clock.advance(excusedMs);
+      assert.is(fleet.rows.silentPollCount, 0);
+      const { lines } = fleet.daemons[1]!.log;
+      assert.ok(lines.some(({ event }) => event === LogEvent.TablesCutOff));
+      await fleet.stop();
+    });
+  });
+
   describe("of a table that two services follow", () => {
     it("delivers the updates of the relay to both", async () => {
       const fleet = new GranterFleet(1);
--- a/src/testing/fake_row_store.ts
+++ b/src/testing/fake_row_store.ts
@@ -36,6 +36,8 @@
   silentPollCount = 0;
   /** Whether the store refuses every call at once. */
   isRefusing = false;
+  /** Incremented when the connections of all waiting long polls go silent. */
+  silencedCount = 0;
   /** Number of long polls by daemon. */
   readonly pollCounts = new Map<string, number>();
   #rows = new Map<string, StoredRow>();
@@ -61,6 +63,12 @@
     );
   }
 
+  /** Leaves the long polls that wait now without an answer. */
+  silenceWaitingPolls(): void {
+    this.silencedCount += 1;
+    this.changed.notify();
+  }
+
   /** Discards the history of changes. */
   compact(): void {
     this.#changes = [];
@@ -157,7 +165,9 @@
       await this.#clock.sleep(options.timeoutMs, options.signal);
       return err(new RouterError(MessageCode.PlatformUnavailable, step));
     }
-    const endsAtMs = this.#clock.nowMs() + options.waitMs;
+    const startedAtMs = this.#clock.nowMs();
+    const endsAtMs = startedAtMs + options.waitMs;
+    const { silencedCount } = this.#rows;
     const { pollCounts } = this.#rows;
     pollCounts.set(
       this.#daemonId,
@@ -166,6 +176,12 @@
     for (;;) {
       const failure = await this.#reach(step, options.timeoutMs);
       if (failure !== undefined) return err(failure);
+      if (this.#rows.silencedCount !== silencedCount) {
+        const elapsedMs = this.#clock.nowMs() - startedAtMs;
+        const remainingMs = Math.max(0, options.timeoutMs - elapsedMs);
+        await this.#clock.sleep(remainingMs, options.signal);
+        return err(new RouterError(MessageCode.PlatformUnavailable, step));
+      }
       const changes = this.#rows.changesAfter(table, options.afterVersion);
       if (changes === undefined) {
         return err(new RouterError(MessageCode.StoreHistoryDiscarded, step));
