--- a/src/daemon/cut_off_daemon_test.ts
+++ b/src/daemon/cut_off_daemon_test.ts
@@ -4,6 +4,7 @@
   type SmallDaemon,
   SmallFleet,
 } from "../../standins/fleet/small_fleet.ts";
+import { EntranceState } from "../../standins/fleet/row_store_standin.ts";
 import { ServiceName } from "../kernel/service_name.ts";
 import { describe, it } from "../testing/describe.ts";
 
@@ -62,19 +63,39 @@
 }
 
 describe("a daemon that the store turns away together with the key granter", () => {
-  it("puts a new configuration in force while the store serves another daemon", async () => {
-    await withFleet(async (fleet, { granter, others }) => {
+  for (const state of [EntranceState.Refusing, EntranceState.Silent]) {
+    it(`puts a new configuration in force while the store serves another daemon (${state})`, async () => {
+      await withFleet(async (fleet, { granter, others }) => {
+        const [served, ...turnedAway] = others;
+        const late = [granter, ...turnedAway];
+        for (const { storeEntrance } of late) storeEntrance.state = state;
+        await delay(acceptedCallMs);
+        const versionBefore = versionOf(granter)!;
+        fleet.configure(["/added/"]);
+        const isInForce = (daemon: SmallDaemon) =>
+          versionOf(daemon)! > versionBefore;
+        await waitUntil(() => late.every(isInForce), configurationBoundMs);
+        assert.ok(isInForce(served!), "the served daemon is late");
+        assert.is(late.filter(isInForce).length, late.length);
+      });
+    });
+  }
+
+  it("follows the next key granter, whose address it learns from another daemon", async () => {
+    await withFleet(async ({ daemons }, { granter, others }) => {
       const [served, ...turnedAway] = others;
-      const late = [granter, ...turnedAway];
-      for (const { storeEntrance } of late) storeEntrance.isTurnedAway = true;
-      await delay(acceptedCallMs);
-      const versionBefore = versionOf(granter)!;
-      fleet.configure(["/added/"]);
-      const isInForce = (daemon: SmallDaemon) =>
-        versionOf(daemon)! > versionBefore;
-      await waitUntil(() => late.every(isInForce), configurationBoundMs);
-      assert.ok(isInForce(served!), "the served daemon is late");
-      assert.is(late.filter(isInForce).length, late.length);
+      for (const { storeEntrance } of [granter, ...turnedAway]) {
+        storeEntrance.state = EntranceState.Refusing;
+      }
+      const isFollowing = ({ kernel }: SmallDaemon) =>
+        !kernel.get(ServiceName.TableFeed).isCutOff();
+      const isTakenOver = await waitUntil(
+        () => isGranter(served!) && !isGranter(granter),
+        startTimeoutMs,
+      );
+      assert.ok(isTakenOver, "the served daemon is not the key granter");
+      await waitUntil(() => daemons.every(isFollowing), configurationBoundMs);
+      assert.is(daemons.filter(isFollowing).length, daemons.length);
     });
   });
 });
--- a/standins/fleet/row_store_standin.ts
+++ b/standins/fleet/row_store_standin.ts
@@ -9,6 +9,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { StoredRow } from "../../src/host/row_store.ts";
 import { SystemClock } from "../../src/host/system_clock.ts";
+import { assertNever } from "../../src/types/errors.ts";
 import type { ServerEntry } from "../../src/types/routing.ts";
 import {
   encodeConfiguration,
@@ -50,11 +51,19 @@
   readonly value: string;
 }
 
-/** A listener of the store for one daemon, which the store can turn away. */
+/** How the store treats the calls of one daemon. */
+export enum EntranceState {
+  Open = "open",
+  /** Every call is refused. */
+  Refusing = "refusing",
+  /** No call is answered. */
+  Silent = "silent",
+}
+
+/** A listener of the store for one daemon. */
 export interface StoreEntrance {
   readonly server: Server;
-  /** Whether the store refuses every call of this daemon. */
-  isTurnedAway: boolean;
+  state: EntranceState;
 }
 
 /** The HTTP server of the simulated row store. */
@@ -75,12 +84,19 @@
   /** Creates a listener for one daemon; the caller lets it listen. */
   createEntrance(): StoreEntrance {
     const entrance: StoreEntrance = {
-      isTurnedAway: false,
+      state: EntranceState.Open,
       server: createServer((request, response) => {
-        if (entrance.isTurnedAway) {
-          return void response.writeHead(statusUnavailable).end();
+        switch (entrance.state) {
+          case EntranceState.Open:
+            return void this.#handle(request, response)
+              .catch(() => response.destroy());
+          case EntranceState.Refusing:
+            return void response.writeHead(statusUnavailable).end();
+          case EntranceState.Silent:
+            return;
+          default:
+            return assertNever(entrance.state);
         }
-        this.#handle(request, response).catch(() => response.destroy());
       }),
     };
     this.#entrances.push(entrance);
