Bound the answers to health checks, grants and platform calls of the product's edition

What callers saw: other operators reported that a server which sends bytes without end made the machine that had called it run out of memory, and the requests of other callers on it ended.

It can happen here. Cause: the health checks, grants and revocations of the product's own edition, and its calls to the platform, read an answer's text to its end, whatever its length; only the call's time-out ended it. Class: a body read whole without a bound.

Evidence: an endless server as a process of its own, 500 ms for each call: 470 to 592 MB held by a health check, a grant and a call to the platform, with a chunked body and with one without a length; resident memory grew by 1,015 MB in one second of a health check. Nothing piled up in requests to servers, requests that are forwarded to another daemon, reads of the store and syncs, nor with heads, chunk extensions, trailers, interim answers and bytes that are not HTTP (at most 40 MB, which does not grow with time: 34 MB after 4 s).

Change: `readText` ends a body that is longer than 64 KiB (servers) or 16 MiB (platform).

--- a/src/host/http_platform.ts
+++ b/src/host/http_platform.ts
@@ -10,6 +10,7 @@
 import type { ServiceLookup } from "../kernel/kernel.ts";
 import { ServiceName } from "../kernel/service_name.ts";
 import { CounterName } from "../services/metrics/metrics.ts";
+import { readText } from "../streams/read_text.ts";
 import { EventSource } from "../streams/event_source.ts";
 import { AttemptOutcome, VmRole, VmState } from "../types/enums.ts";
 import { RouterError } from "../types/errors.ts";
@@ -42,6 +43,9 @@
   service: z.string().optional(),
 }));
 
+/** Maximum size of an answer; the largest objects and lists of rows are half as large. */
+const maxAnswerBytes = 16 * 1_048_576;
+
 const statusNotFound = 404;
 const statusOk = 200;
 
@@ -88,7 +92,7 @@
           ...(call.body === undefined ? {} : { body: call.body }),
         },
       );
-      const text = await answer.body.text();
+      const text = await readText(answer.body, maxAnswerBytes);
       if (
         answer.statusCode === statusOk || answer.statusCode === statusNotFound
       ) {
--- a/src/services/backend/http_backend_transport.ts
+++ b/src/services/backend/http_backend_transport.ts
@@ -22,6 +22,7 @@
   RoutedRequest,
   RoutedResponse,
 } from "../../types/types.ts";
+import { readText } from "../../streams/read_text.ts";
 import { flattenHeaders } from "./http_headers.ts";
 
 /**
@@ -39,6 +40,8 @@
 
 const statusOk = 200;
 const controlConnectionCount = 1;
+/** Maximum size of an answer to a health check, a grant or a revocation. */
+const maxControlAnswerBytes = 65_536;
 
 export interface HttpBackendTransportOptions {
   readonly connectTimeoutMs: number;
@@ -183,7 +186,7 @@
         signal,
         ...(body === undefined ? {} : { body }),
       });
-      const text = await answer.body.text();
+      const text = await readText(answer.body, maxControlAnswerBytes);
       if (answer.statusCode === statusOk) return ok(text);
       return err(
         new RouterError(MessageCode.BackendRefused, step, {
