Read streamed answers in the test of slow readers only after their time-out

Cause, in the test: with ten busy processes the last readers were opened 4.0 to 4.4 s after the start (printed in four runs; the readers with a whole answer were those of the last one or two batches), and read at 5 s, before their time of 2 s was over. The daemon breaks an answer off only then. The test now waits for that time, from the last reader on; what it asserts is unchanged.

--- a/src/daemon/slow_readers_test.ts
+++ b/src/daemon/slow_readers_test.ts
@@ -29,6 +29,10 @@
 const stallEndMs = 2_500;
 /** Longest wait for the requests of one batch of readers. */
 const maxBatchMs = 400;
+/** How late a timer of the daemon may fire on a busy machine. */
+const timeoutSlackMs = 1_000;
+/** How long each reader's caller waits for its answer; then the daemon breaks a streamed answer off. */
+const callerTimeoutMs = 2_000;
 
 /** A connection whose caller sends and reads nothing until `readToEnd`. */
 class IdleReader {
@@ -155,7 +159,7 @@
     { length: count },
     (_, i) =>
       "GET /clips/x HTTP/1.1\r\nHost: app.example\r\n" +
-      `X-Request-Id: ${name}-${i}\r\nX-Timeout-Ms: 2000\r\n\r\n`,
+      `X-Request-Id: ${name}-${i}\r\nX-Timeout-Ms: ${callerTimeoutMs}\r\n\r\n`,
   ).join("");
 }
 
@@ -222,7 +226,10 @@
           batchCount: 20,
           requestCount: 1,
         });
+        // A reader that reads sooner still gets its whole answer.
+        const timedOut = delay(callerTimeoutMs + timeoutSlackMs);
         assertBounded(await observing);
+        await timedOut;
         const counts = await Promise.all(readers.map((r) => r.readToEnd()));
         // The end of the connection doesn't mark the end of these answers.
         assert.ok(counts.every((byteCount) => byteCount < paddingBytes));
