--- a/src/proof/endless_answers_test.ts
+++ b/src/proof/endless_answers_test.ts
@@ -99,6 +99,15 @@
   };
 }
 
+function createPeerTransport(): HttpPeerTransport {
+  return new HttpPeerTransport({
+    secret: "secret",
+    connectionsPerPeer: 1,
+    connectTimeoutMs: timeoutMs,
+    callTimeoutMs: timeoutMs,
+  });
+}
+
 const grant = { service: "roster", shards: [0], fence: 1, holdMs: 1_000 };
 
 const calls: Readonly<Record<string, Call>> = {
@@ -117,12 +126,7 @@
     transport.grant(server, grant as never, signal)
   ),
   "a request that is forwarded to another daemon": async (address) => {
-    const transport = new HttpPeerTransport({
-      secret: "secret",
-      connectionsPerPeer: 1,
-      connectTimeoutMs: timeoutMs,
-      callTimeoutMs: timeoutMs,
-    });
+    const transport = createPeerTransport();
     try {
       const result = await transport.forward(address, createRequest(), {
         location: createLocation(address),
@@ -134,12 +138,7 @@
     }
   },
   "a control call to another daemon": async (address) => {
-    const transport = new HttpPeerTransport({
-      secret: "secret",
-      connectionsPerPeer: 1,
-      connectTimeoutMs: timeoutMs,
-      callTimeoutMs: timeoutMs,
-    });
+    const transport = createPeerTransport();
     const client = createClient(DeliveryPeers, transport.connectTo(address));
     await client.fetchRecords({});
   },
--- a/src/services/fleet/peer_exchange.ts
+++ b/src/services/fleet/peer_exchange.ts
@@ -14,7 +14,7 @@
 /** How long a daemon is cut off before it asks others; a single failed call to the store is over sooner. */
 const cutOffDelayMs = 300;
 /** Longest time for which a daemon that can help waits for a change before it answers. */
-const waitMs = 600;
+const helperWaitMs = 600;
 /** Time for the answer beyond that wait. */
 const answerMarginMs = 400;
 /** Shortest pause between two questions; changes within it are sent together. */
@@ -71,7 +71,7 @@
       // A daemon that has not helped yet answers at once, so that one that
       // cannot be reached costs little time.
       const isHelping = await this.#copyFrom(peer, {
-        waitMs: peer === helper ? waitMs : 0,
+        waitMs: peer === helper ? helperWaitMs : 0,
       });
       if (isHelping && peer !== helper) this.#logHelper(peer);
       helper = isHelping ? peer : undefined;
