--- a/review/lib-2/caller.ts
+++ b/review/lib-2/caller.ts
@@ -60,6 +60,23 @@
     this.#socket.write(requests.map(encodeRequest).join(""));
   }
 
+  /** Reads steadily, at a rate, until the connection ends. */
+  readSlowly(bytesPerSecond: number): void {
+    const intervalMs = 50;
+    const bytesPerInterval = bytesPerSecond * intervalMs / 1_000;
+    let allowedBytes = 0;
+    this.#socket.on("data", (chunk: Buffer) => {
+      allowedBytes -= chunk.length;
+      if (allowedBytes <= 0) this.#socket.pause();
+    });
+    this.#socket.pause();
+    const timer = setInterval(() => {
+      allowedBytes += bytesPerInterval;
+      if (allowedBytes > 0) this.#socket.resume();
+    }, intervalMs);
+    this.#socket.once("close", () => clearInterval(timer));
+  }
+
   /** Waits until the daemon ends the connection; false if it does not within the time. */
   async waitForEnd(timeoutMs: number): Promise<boolean> {
     if (this.end !== ConnectionEnd.Open) return true;
