Show that a caller without a limit makes a daemon hang

In a burst the daemon refuses a request whose caller states the largest 64-bit number of milliseconds. The search for the instant at which there is room then never ends: the process answers nothing any more, not even SIGTERM (CONFIG).

--- a/review/lib-2/caller.ts
+++ b/review/lib-2/caller.ts
@@ -8,7 +8,8 @@
   readonly id: string;
   readonly method: string;
   readonly path: string;
-  readonly timeoutMs: number;
+  /** A text for a number that JavaScript can't hold. */
+  readonly timeoutMs: number | string;
   readonly key?: number;
   readonly body?: string;
 }
