Do not pass on a status that means "not run" for a request that may have run

Change: such a refusal ends the send as AmbiguousRefusal: the request may have run. This works for every kind of request, since the answer is never handed to the code that writes answers.

--- a/src/daemon/fleet_daemon_test.ts
+++ b/src/daemon/fleet_daemon_test.ts
@@ -253,6 +253,61 @@
       }));
   });
 
+  describe("when a server runs a request and fails it with a status that means not run", () => {
+    const statuses = [408, 421, 429, 503];
+    const requests = [
+      { kind: "confirmation", path: "/pay/confirm", method: "POST" },
+      { kind: "upload", path: "/artwork/a", method: "POST" },
+      { kind: "read of a key", path: "/roster/x", key: 9 },
+      { kind: "download", path: "/packs/p" },
+    ];
+
+    function failWith(
+      servers: readonly KeyServerStandin[],
+      failureStatus: number,
+    ): void {
+      for (const server of servers) {
+        Object.assign(server, { fault: ServerFault.Fails, failureStatus });
+      }
+    }
+
+    for (const { kind, ...options } of requests) {
+      // Guards against a promise that work which has run has not, so that its caller sends it again.
+      it(`does not tell the caller that it has not run (${kind})`, () =>
+        withFleet(1, async (fleet) => {
+          const [daemon] = fleet.daemons as [SmallDaemon];
+          for (const failureStatus of statuses) {
+            failWith(fleet.servers, failureStatus);
+            const answer = await sendRequest(daemon, options);
+            assert.is(answer.status, 502, `for ${failureStatus}`);
+            assert.is(answer.headers["x-response-signature"], undefined);
+            assert.is(answer.headers["retry-after"], undefined);
+            const runCount = listExecutions(fleet, answer.id).length;
+            const isRepeated = kind === "download";
+            assert.is(runCount, isRepeated ? 2 : 1, `for ${failureStatus}`);
+            const line = daemon.log.lines
+              .find(({ fields }) => fields.id === answer.id);
+            assert.is(line?.fields.reason, "ambiguous-refusal");
+          }
+        }));
+    }
+
+    it("sends a request that may be repeated to another server", () =>
+      withFleet(1, async (fleet) => {
+        const [failing] = payServers(fleet);
+        for (const failureStatus of statuses) {
+          failWith([failing!], failureStatus);
+          for (let i = 0; i < 12; i++) {
+            const { status } = await sendRequest(fleet.daemons[0]!, {
+              path: "/packs/p",
+            });
+            assert.is(status, 200, `for ${failureStatus}`);
+          }
+        }
+        assert.ok(failing!.executions.length > 0);
+      }));
+  });
+
   describe("when a server loses an answer", () => {
     // Guards against a new connection for each request afterwards.
     it("goes on using connections that were idle for as long", async () => {
--- a/src/host/server_link.ts
+++ b/src/host/server_link.ts
@@ -19,6 +19,11 @@
   NotRun = "not-run",
   /** Another backend server now has the address; it did not run the request. */
   WrongServer = "wrong-server",
+  /**
+   * The backend server answered with a status that callers take as "not run",
+   * but did not state that; the request may have run.
+   */
+  AmbiguousRefusal = "ambiguous-refusal",
   /** The connection ended before an answer, or the answer was not to this request. */
   Broken = "broken",
   /** The sender aborted the request. */
--- a/src/proof/soak/run_soak.ts
+++ b/src/proof/soak/run_soak.ts
@@ -61,6 +61,8 @@
 ]);
 const serverFaults = Object.values(ServerFault)
   .filter((fault) => !unusedServerFaults.has(fault));
+/** Statuses of servers that fail requests; callers take the last four as "not run". */
+const failureStatuses = [500, 408, 421, 429, 503];
 
 /** The result of one run. */
 export interface SoakReport {
@@ -226,6 +228,8 @@
       case SoakEvent.ServerFaulty: {
         const { standin } = this.#pickServer(step);
         standin.fault = pickByFraction(serverFaults, variantFraction);
+        const remainder = (variantFraction * serverFaults.length) % 1;
+        standin.failureStatus = pickByFraction(failureStatuses, remainder);
         await delay(durationMs);
         standin.fault = ServerFault.None;
         return;
--- a/src/services/dispatch/attempt_sender.ts
+++ b/src/services/dispatch/attempt_sender.ts
@@ -233,6 +233,7 @@
     const nowMs = this.#services.get(ServiceName.Clock).nowMs();
     // A refusal by a full server does not make it unreachable.
     const isAlive = result.ending === SendEnding.NotRun ||
+      result.ending === SendEnding.AmbiguousRefusal ||
       result.ending === SendEnding.Answered ||
       // A full server resets some connections while it answers on others.
       (result.ending === SendEnding.Broken &&
--- a/src/services/dispatch/balanced_dispatch.ts
+++ b/src/services/dispatch/balanced_dispatch.ts
@@ -105,7 +105,8 @@
     let sendCount = 0;
     let queuedMs = 0;
     let server: string | undefined;
-    let mayHaveRun = false;
+    /** Why it is unknown whether an earlier attempt has run; undefined if none has. */
+    let unknownReason: DeliveryReason | undefined;
     let failedAnswer: DeliveredAnswer | undefined;
     const end = (
       ending: DeliveryEnding,
@@ -128,8 +129,8 @@
       if (failedAnswer !== undefined) {
         return end(DeliveryEnding.Answered, reason, { answer: failedAnswer });
       }
-      return mayHaveRun
-        ? end(DeliveryEnding.Unknown, DeliveryReason.AnswerLost)
+      return unknownReason !== undefined
+        ? end(DeliveryEnding.Unknown, unknownReason)
         : end(DeliveryEnding.NotRun, reason, { retryAfterMs });
     };
 
@@ -183,10 +184,16 @@
         case SendEnding.NotRun:
         case SendEnding.WrongServer:
           break;
+        case SendEnding.AmbiguousRefusal:
+          unknownReason = DeliveryReason.AmbiguousRefusal;
+          if (!isRepeatable(call) || call.key !== undefined) {
+            return giveUp(unknownReason);
+          }
+          break;
         case SendEnding.Broken:
-          mayHaveRun = true;
+          unknownReason = DeliveryReason.AnswerLost;
           broken.add(server);
-          if (!isRepeatable(call)) return giveUp(DeliveryReason.AnswerLost);
+          if (!isRepeatable(call)) return giveUp(unknownReason);
           break;
         case SendEnding.Cancelled:
           return call.disconnectSignal.aborted
--- a/src/services/dispatch/dispatch.ts
+++ b/src/services/dispatch/dispatch.ts
@@ -68,6 +68,8 @@
   ServerCold = "server-cold",
   Deadline = "deadline",
   AnswerLost = "answer-lost",
+  /** A backend server refused the request without stating that it has not run. */
+  AmbiguousRefusal = "ambiguous-refusal",
 }
 
 /** A backend server's answer. */
--- a/standins/fleet/key_server_standin.ts
+++ b/standins/fleet/key_server_standin.ts
@@ -31,7 +31,7 @@
   None = "none",
   /** Executes requests and resets the connection without an answer. */
   LosesAnswers = "loses-answers",
-  /** Answers with status 500. */
+  /** Executes requests and answers with the status `failureStatus`. */
   Fails = "fails",
   /** Sends part of an answer and resets the connection. */
   BreaksOff = "breaks-off",
@@ -92,6 +92,8 @@
   readonly server: Server;
   readonly executions: Execution[] = [];
   fault = ServerFault.None;
+  /** Status of the answers of a server that fails. */
+  failureStatus = statusInternalError;
   /** How long the connection of a broken-off answer without a length stays open. */
   breakOffDelayMs = 20;
   /** Number of bytes that are added to each answer. */
@@ -164,7 +166,9 @@
     }
     const target = request.headers["x-target-instance"];
     if (target !== undefined && target !== this.#entry.id) {
-      return void response.writeHead(statusWrongServer).end();
+      return void response.writeHead(statusWrongServer, {
+        "x-instance-id": this.#entry.id,
+      }).end();
     }
     if (request.url === "/api/grant") return this.#grant(response, body);
     if (request.url === "/api/release") return this.#release(response, body);
@@ -308,7 +312,7 @@
           this.breakOffDelayMs,
         );
       case ServerFault.Fails:
-        return void response.writeHead(statusInternalError, fields).end(body);
+        return void response.writeHead(this.failureStatus, fields).end(body);
       case ServerFault.AnswersTwice:
         response.writeHead(statusOk, fields).end(body);
         socket.write(
--- a/standins/fleet/small_configuration.ts
+++ b/standins/fleet/small_configuration.ts
@@ -48,6 +48,7 @@
     ["reads", "/roster/", "safe", SmallService.Roster],
     ["confirms", "/pay/", "unsafe", SmallService.Pay],
     ["uploads", "/artwork/", "upload", SmallService.Pay],
+    ["downloads", "/packs/", "download", SmallService.Pay],
     ...extraPrefixes.map((prefix) =>
       [prefix, prefix, "safe", SmallService.Pay] as const
     ),
