Do not read a server's header as the failure of a forwarded request

Cause: a home passed all headers of a server's answer on to the entry, and the entry takes skylark-failure for the home's own failure, whose outcome decides whether the request may run again and whether its caller is told that it has not run. A server's word, or an answer of a router behind it, could say "not run" for a request that had run.

Evidence: "forwarding over HTTP > an answer with a header that daemons use among themselves > is not read as a failure of the home" failed before: the answer 200 arrived as refused-unrun.

Change: the home removes that header from servers' answers; only the home's own code sets it.

--- a/src/services/peers/forward_handler.ts
+++ b/src/services/peers/forward_handler.ts
@@ -48,7 +48,9 @@
     const result = await services.get(ServiceName.Home)
       .dispatch(routed, { signal: cancellation.signal });
     if (result.isErr()) return sendFailure(response, result.error);
-    response.writeHead(result.value.status, { ...result.value.headers });
+    // Only this daemon says how a request ended that has no answer.
+    const { [failureHeader]: _failure, ...headers } = result.value.headers;
+    response.writeHead(result.value.status, headers);
     await writeBody(response, result.value.body);
   } catch (error) {
     const failure = toRouterError(error, MessageCode.Internal, {
--- a/src/services/peers/http_forward_test.ts
+++ b/src/services/peers/http_forward_test.ts
@@ -12,11 +12,18 @@
   RequestClass,
 } from "../../types/enums.ts";
 import { RouterError } from "../../types/errors.ts";
+import { encodeFailure } from "../../types/failure_codec.ts";
 import type { KeyLocation, RoutedRequest } from "../../types/types.ts";
+import { readText } from "../../streams/read_text.ts";
 import { Home, type HomedServerStatus } from "../home/home.ts";
 import type { DispatchResult } from "../home/queued_request.ts";
 import { StatsdMetrics } from "../metrics/statsd_metrics.ts";
-import { encodeForward, forwardHeader, forwardPath } from "./forward_codec.ts";
+import {
+  encodeForward,
+  failureHeader,
+  forwardHeader,
+  forwardPath,
+} from "./forward_codec.ts";
 import { HttpPeerServer } from "./http_peer_server.ts";
 import { HttpPeerTransport } from "./http_peer_transport.ts";
 
@@ -143,6 +150,11 @@
   };
 }
 
+async function* readable(text: string): AsyncGenerator<Uint8Array> {
+  await Promise.resolve();
+  yield Buffer.from(text);
+}
+
 describe("forwarding over HTTP", () => {
   describe("a request", () => {
     it("arrives with its key, plan rank and body", async () => {
@@ -213,6 +225,30 @@
     });
   });
 
+  describe("an answer with a header that daemons use among themselves", () => {
+    // Guards against a server's word that a request which it has run has not.
+    it("is not read as a failure of the home", async () => {
+      const failure = encodeFailure(
+        new RouterError(MessageCode.BackendRefused, "send", {
+          outcome: AttemptOutcome.RefusedUnrun,
+        }),
+      );
+      const headers = {
+        [failureHeader]: Buffer.from(failure).toString("base64url"),
+        "x-kept": "yes",
+      };
+      const hop = new Hop(() =>
+        Promise.resolve(ok({ status: 200, headers, body: readable("ran") }))
+      );
+      await hop.use(async () => {
+        const result = await hop.forward();
+        assert.ok(result.isOk());
+        assert.is(result.value.headers["x-kept"], "yes");
+        assert.is(await readText(result.value.body, 100), "ran");
+      });
+    });
+  });
+
   describe("an answer that is cut short", () => {
     it("fails for the reader too", async () => {
       async function* body(): AsyncGenerator<Uint8Array> {
