Count a grant that a server failed as one that may be in force

Cause: every status but 200 of a grant or revocation was reported as refused without being carried out, also a 500 or 503 after it was. Only 409 says so (docs/BACKENDS.md).

Ruled out: that a key had two owners by it. ServerGrants treats all errors alike, and exclusivity rests on permits and fences.

Evidence: "HttpBackendTransport > grant > reports unknown for status ..." failed before for 408, 421, 429, 500 and 503.

Change: 409 stays a refusal; after any other status the outcome is unknown.

--- a/src/services/backend/http_backend_transport.ts
+++ b/src/services/backend/http_backend_transport.ts
@@ -39,6 +39,8 @@
 });
 
 const statusOk = 200;
+/** Status of a grant or revocation with a fence below one that the server knows. */
+const statusFenced = 409;
 const controlConnectionCount = 1;
 /** Maximum size of an answer to a health check, a grant or a revocation. */
 const maxControlAnswerBytes = 65_536;
@@ -192,7 +194,10 @@
         new RouterError(MessageCode.BackendRefused, step, {
           peer: server.serverId,
           detail: `status ${answer.statusCode}`,
-          outcome: AttemptOutcome.RefusedUnrun,
+          // No other status says that the command was not carried out.
+          outcome: answer.statusCode === statusFenced
+            ? AttemptOutcome.RefusedUnrun
+            : AttemptOutcome.Unknown,
         }),
       );
     } catch (error) {
--- a/src/services/backend/http_backend_transport_test.ts
+++ b/src/services/backend/http_backend_transport_test.ts
@@ -14,6 +14,7 @@
   RequestClass,
 } from "../../types/enums.ts";
 import type { KeyLocation, RoutedRequest } from "../../types/types.ts";
+import type { BackendGrant } from "../../host/backend_transport.ts";
 import { listen } from "../../host/listen.ts";
 import { HttpBackendTransport } from "./http_backend_transport.ts";
 
@@ -65,8 +66,22 @@
       ...createLocation(port),
     }, { signal, startBeforeWallMs: 0 });
   }
+
+  grant() {
+    const { port } = this.#server.address() as AddressInfo;
+    const { server } = createLocation(port);
+    return this.transport.grant(server, grant, new AbortController().signal);
+  }
 }
 
+const grant: BackendGrant = {
+  service: "confirmation",
+  shards: [0],
+  keys: [],
+  fence: 1,
+  grantDurationMs: 1_000,
+};
+
 function createRequest(
   requestId: string,
   parts: Partial<RoutedRequest>,
@@ -193,6 +208,29 @@
     });
   });
 
+  describe("grant", () => {
+    const outcomes = [
+      [409, AttemptOutcome.RefusedUnrun],
+      [408, AttemptOutcome.Unknown],
+      [421, AttemptOutcome.Unknown],
+      [429, AttemptOutcome.Unknown],
+      [500, AttemptOutcome.Unknown],
+      [503, AttemptOutcome.Unknown],
+    ] as const;
+    for (const [status, outcome] of outcomes) {
+      // Guards against a grant in force that counts as refused.
+      it(`reports ${outcome} for status ${status}`, async () => {
+        const loopback = new LoopbackBackend((_request, response) =>
+          void response.writeHead(status).end()
+        );
+        await loopback.runWhileListening(async () => {
+          const result = await loopback.grant();
+          assert.is(result.isErr() && result.error.outcome, outcome);
+        });
+      });
+    }
+  });
+
   describe("send", () => {
     it("reports NotSent when the connection is refused", async () => {
       const loopback = new LoopbackBackend(answerWithRequestId);
