Do not take a head with an impossible status for an answer

Cause: Node's parser accepts any three digits, and nothing checked the number. Below 100, Node refuses to write the caller's head, and the request's task ended with that error.

Ruled out: key commands, health checks, the store and peers compare the status with those that they know.

The send ends as broken and its connection is closed, so the caller gets 502, or another server's answer if the request may be repeated, and keeps its connection.

The soak's failing servers send 000 and 999 too.

--- a/src/daemon/fleet_daemon_test.ts
+++ b/src/daemon/fleet_daemon_test.ts
@@ -23,6 +23,13 @@
 /** Time between two requests of a caller that always has one in flight. */
 const pipelineGapMs = 50;
 
+const requestsOfEachKind = [
+  { kind: "confirmation", path: "/pay/confirm", method: "POST" },
+  { kind: "upload", path: "/artwork/a", method: "POST" },
+  { kind: "read of a key", path: "/roster/x", key: 9 },
+  { kind: "download", path: "/packs/p" },
+];
+
 interface Answer {
   readonly status: number;
   readonly headers: Readonly<Record<string, unknown>>;
@@ -41,6 +48,8 @@
     readonly body?: string;
     readonly port?: number;
     readonly timeoutMs?: number;
+    /** A new connection for the request when omitted. */
+    readonly agent?: Agent;
   },
 ): Promise<Answer & { readonly id: string }> {
   const id = `request-${++requestCount}`;
@@ -50,7 +59,7 @@
       port: options.port ?? daemon.callersPort,
       path: options.path,
       method: options.method ?? "GET",
-      agent: new Agent(),
+      agent: options.agent ?? new Agent(),
       headers: {
         host: "app.example",
         "x-request-id": id,
@@ -255,23 +264,8 @@
 
   describe("when a server runs a request and fails it with a status that means not run", () => {
     const statuses = [408, 421, 429, 503];
-    const requests = [
-      { kind: "confirmation", path: "/pay/confirm", method: "POST" },
-      { kind: "upload", path: "/artwork/a", method: "POST" },
-      { kind: "read of a key", path: "/roster/x", key: 9 },
-      { kind: "download", path: "/packs/p" },
-    ];
 
-    function failWith(
-      servers: readonly KeyServerStandin[],
-      failureStatus: number,
-    ): void {
-      for (const server of servers) {
-        Object.assign(server, { fault: ServerFault.Fails, failureStatus });
-      }
-    }
-
-    for (const { kind, ...options } of requests) {
+    for (const { kind, ...options } of requestsOfEachKind) {
       // Guards against a promise that work which has run has not, so that its caller sends it again.
       it(`does not tell the caller that it has not run (${kind})`, () =>
         withFleet(1, async (fleet) => {
@@ -308,6 +302,46 @@
       }));
   });
 
+  describe("when a server answers with a status that is none of HTTP's", () => {
+    const cases = [
+      ...requestsOfEachKind.map((request) => ({ request, failureStatus: 0 })),
+      ...[99, 600, 999].map((failureStatus) => ({
+        request: requestsOfEachKind[0]!,
+        failureStatus,
+      })),
+    ];
+
+    for (const { request: { kind, ...options }, failureStatus } of cases) {
+      // Guards against an answer that its caller can't read, and against the loss of its connection.
+      it(`answers the caller itself, on a connection that stays open (${kind}, ${failureStatus})`, () =>
+        withFleet(1, async (fleet) => {
+          const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+          const [daemon] = fleet.daemons as [SmallDaemon];
+          failWith(fleet.servers, failureStatus);
+          const answer = await sendRequest(daemon, { ...options, agent });
+          assert.is(answer.status, 502);
+          assert.is(answer.headers["x-response-signature"], undefined);
+          assert.is(answer.headers.connection, "keep-alive");
+          const runCount = listExecutions(fleet, answer.id).length;
+          assert.is(runCount, kind === "download" ? 2 : 1);
+          agent.destroy();
+        }));
+    }
+
+    it("sends a request that may be repeated to another server", () =>
+      withFleet(1, async (fleet) => {
+        const [failing] = payServers(fleet);
+        failWith([failing!], 0);
+        for (let i = 0; i < 12; i++) {
+          const { status } = await sendRequest(fleet.daemons[0]!, {
+            path: "/packs/p",
+          });
+          assert.is(status, 200);
+        }
+        assert.ok(failing!.executions.length > 0);
+      }));
+  });
+
   describe("when a server loses an answer", () => {
     // Guards against a new connection for each request afterwards.
     it("goes on using connections that were idle for as long", async () => {
@@ -718,6 +752,16 @@
   });
 });
 
+/** Makes servers run requests and fail them with a status. */
+function failWith(
+  servers: readonly KeyServerStandin[],
+  failureStatus: number,
+): void {
+  for (const server of servers) {
+    Object.assign(server, { fault: ServerFault.Fails, failureStatus });
+  }
+}
+
 /** The servers of the service that is not sharded. */
 function payServers({ servers }: SmallFleet): KeyServerStandin[] {
   return servers.filter((_, i) => i % 2 === 1);
--- a/src/proof/soak/run_soak.ts
+++ b/src/proof/soak/run_soak.ts
@@ -61,8 +61,8 @@
 ]);
 const serverFaults = Object.values(ServerFault)
   .filter((fault) => !unusedServerFaults.has(fault));
-/** Statuses of servers that fail requests; callers take the last four as "not run". */
-const failureStatuses = [500, 408, 421, 429, 503];
+/** Statuses of servers that fail requests: callers take four of them as "not run", and two are none of HTTP's. */
+const failureStatuses = [500, 408, 421, 429, 503, 0, 999];
 
 /** The result of one run. */
 export interface SoakReport {
--- a/src/services/backend/http_backend_transport.ts
+++ b/src/services/backend/http_backend_transport.ts
@@ -13,6 +13,7 @@
   type BackendReport,
   BackendTransport,
 } from "../../host/backend_transport.ts";
+import { isFinalStatus } from "../../host/final_status.ts";
 import { notSentCodes } from "../../host/not_sent_codes.ts";
 import { AttemptOutcome } from "../../types/enums.ts";
 import { RouterError } from "../../types/errors.ts";
@@ -110,10 +111,20 @@
         headersTimeout: 0,
         bodyTimeout: 0,
       });
+      const { statusCode: status } = answer;
+      if (!isFinalStatus(status)) {
+        answer.body.on("error", () => {}).destroy();
+        return err(
+          createSendError(
+            server,
+            new RangeError(`status ${status} is not one of a final answer`),
+          ),
+        );
+      }
       const headers = flattenHeaders(answer.headers);
       const refusal = headers[refusedUnrunHeader];
       if (refusal === undefined) {
-        return ok({ status: answer.statusCode, headers, body: answer.body });
+        return ok({ status, headers, body: answer.body });
       }
       await answer.body.dump();
       return err(createRefusal(server, refusal));
--- a/src/services/backend/http_backend_transport_test.ts
+++ b/src/services/backend/http_backend_transport_test.ts
@@ -248,6 +248,22 @@
       });
     });
 
+    for (const status of ["000", "099", "600", "999"]) {
+      // Guards against an answer that a caller can't be given.
+      it(`reports Unknown when the status is none of HTTP's (${status})`, async () => {
+        const loopback = new LoopbackBackend(({ socket }) =>
+          socket.end(`HTTP/1.1 ${status} Odd\r\nContent-Length: 0\r\n\r\n`)
+        );
+        await loopback.runWhileListening(async () => {
+          const result = await loopback.send("odd");
+          assert.is(
+            result.isErr() && result.error.outcome,
+            AttemptOutcome.Unknown,
+          );
+        });
+      });
+    }
+
     it("reports RefusedUnrun when the refusal header is present", async () => {
       const loopback = new LoopbackBackend((_request, response) => {
         response.writeHead(503, { "skylark-refused-unrun": "shedding" }).end();
--- a/standins/fleet/key_server_standin.ts
+++ b/standins/fleet/key_server_standin.ts
@@ -11,6 +11,7 @@
 import type { Socket } from "node:net";
 import { text } from "node:stream/consumers";
 import { setTimeout as delay } from "node:timers/promises";
+import { isFinalStatus } from "../../src/host/final_status.ts";
 import { FakeKeyServer } from "../../src/testing/fake_key_servers.ts";
 import type { HoldMonitor } from "../../src/testing/hold_monitor.ts";
 import { assertNever } from "../../src/types/errors.ts";
@@ -92,7 +93,7 @@
   readonly server: Server;
   readonly executions: Execution[] = [];
   fault = ServerFault.None;
-  /** Status of the answers of a server that fails. */
+  /** Status of the answers of a server that fails; it may be none of HTTP's. */
   failureStatus = statusInternalError;
   /** How long the connection of a broken-off answer without a length stays open. */
   breakOffDelayMs = 20;
@@ -312,7 +313,7 @@
           this.breakOffDelayMs,
         );
       case ServerFault.Fails:
-        return void response.writeHead(this.failureStatus, fields).end(body);
+        return this.#fail(response, fields, body);
       case ServerFault.AnswersTwice:
         response.writeHead(statusOk, fields).end(body);
         socket.write(
@@ -335,6 +336,22 @@
     }
   }
 
+  #fail(
+    response: ServerResponse,
+    fields: Readonly<Record<string, string>>,
+    body: string,
+  ): void {
+    const status = this.failureStatus;
+    if (isFinalStatus(status)) {
+      return void response.writeHead(status, fields).end(body);
+    }
+    // Node writes no other status.
+    const head = Object.entries({ ...fields, "content-length": body.length })
+      .map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    const statusText = String(status).padStart(3, "0");
+    response.socket?.end(`HTTP/1.1 ${statusText} Failed\r\n${head}\r\n${body}`);
+  }
+
   /** Adds a padding that all answers share, so that many long ones occupy little memory here. */
   #answerLong(
     response: ServerResponse,
