--- a/src/services/feeds/store_table_feed_test.ts
+++ b/src/services/feeds/store_table_feed_test.ts
@@ -145,6 +145,37 @@
     });
   });
 
+  describe("when an outage swallows the calls of its last moments", () => {
+    /** By the platform's rules a change holds within this time, but not before calls are in touch again after an outage. */
+    const configurationMs = 2_000;
+    const inTouchMs = 3_000;
+
+    for (const outageMs of [1_000, 3_300, 9_000]) {
+      for (const changeAfterMs of [100, 800, 2_300, 3_700]) {
+        // Guards against a poll without an answer that outlasts the outage.
+        it(`receives a change ${changeAfterMs} ms after one of ${outageMs} ms in time`, async () => {
+          for (let seed = 1; seed <= 6; seed++) {
+            const fleet = new GranterFleet(seed);
+            await fleet.addDaemon();
+            const { kernel } = await fleet.addDaemon();
+            await fleet.clock.advance(settleMs + seed * 170);
+            fleet.rows.isDown = true;
+            await fleet.clock.advance(outageMs);
+            fleet.rows.isDown = false;
+            await fleet.clock.advance(changeAfterMs);
+            fleet.configure(2);
+            await fleet.clock.advance(
+              Math.max(configurationMs, inTouchMs - changeAfterMs),
+            );
+            const { version } = kernel.get(ServiceName.Routing).currentTable()!;
+            assert.is(version, 2, `seed ${seed}`);
+            await fleet.stop();
+          }
+        });
+      }
+    }
+  });
+
   describe("of a table that two services follow", () => {
     it("delivers the updates of the relay to both", async () => {
       const fleet = new GranterFleet(1);
