--- a/src/daemon/create_fleet_daemon.ts
+++ b/src/daemon/create_fleet_daemon.ts
@@ -63,7 +63,10 @@
     )
     .register(new SharedColdServers({ daemonId: settings.daemonId }))
     .register(
-      new LeasedKeyGranter({ peerAddress: settings.advertisedPeerAddress }),
+      new LeasedKeyGranter({
+        peerAddress: settings.advertisedPeerAddress,
+        isFirstStart: settings.isFirstStart,
+      }),
     )
     .register(new LoadCounts())
     .register(new LearnedCapacities())
--- a/src/daemon/fleet_settings.ts
+++ b/src/daemon/fleet_settings.ts
@@ -30,6 +30,8 @@
   readonly metricsAddress: SocketAddress | undefined;
   /** Processor time that the daemon may use, in full-speed cores; may be a fraction. */
   readonly coreCount: number;
+  /** Whether the whole fleet starts for the first time; defaults to true. */
+  readonly isFirstStart: boolean;
   /** Time that the platform grants between SIGTERM and SIGKILL. */
   readonly graceMs: number;
   /** Retries for each request, in the whole fleet. */
@@ -87,6 +89,7 @@
       : readAddress(file, "metricsAddress"),
     coreCount: readNumber(file, "processorShare") *
       readNumber(file, "processorCount"),
+    isFirstStart: file.isFirstStart !== false,
     graceMs: readNumber(file, "graceSeconds") * msPerSecond,
     retryRatio: readNumber(file, "retryRatio"),
     retryWindowMs: readNumber(file, "retryWindowSeconds") * msPerSecond,
--- a/src/diagnostics/log_events.ts
+++ b/src/diagnostics/log_events.ts
@@ -39,6 +39,7 @@
   GrantFailed = "grant failed",
   GranterAnnouncementFailed = "granter announcement failed",
   KeyGranterUnreachable = "key granter out of reach",
+  HoldsWaitedOut = "holds waited out",
   KeyGranterTermBegun = "key granter term begun",
   KeyGranterTermEnded = "key granter term ended",
   KeysReassigned = "keys move",
@@ -70,6 +71,8 @@
   SettingsRefused = "settings refused",
   StepFailed = "step failed",
   StoppedCoordinating = "stopped coordinating",
+  StoreEraBegun = "store era begun",
+  StoreEraMissing = "store era missing",
   SyncRequestRefused = "sync request refused",
   TablesCopiedFromPeer = "tables copied from a peer",
   TablesConnected = "tables connected again",
@@ -206,6 +209,7 @@
       "routeCount",
       "rowVersion",
       "source",
+      "era",
       "silentMs",
     ],
     meaning:
@@ -252,6 +256,29 @@
     advice:
       "restore the store; without it no keys are reassigned, and all keys are served for about eight seconds",
   },
+  [LogEvent.StoreEraBegun]: {
+    level: LogLevel.Warn,
+    fields: ["era", "eraBefore", "versions"],
+    meaning:
+      "the store came back from an older copy; `versions` are those of this daemon's copies, which are replaced. What the router wrote since that copy was taken is written again",
+    advice:
+      "look for `key granter term begun` and `holds waited out` in the seconds after it, on all daemons",
+  },
+  [LogEvent.StoreEraMissing]: {
+    level: LogLevel.Warn,
+    fields: ["era"],
+    meaning:
+      "an answer of the store has no era, or one that is no whole number; it counts as one of the era that is known. Logged once",
+    advice: "ask the platform which release of the store answers",
+  },
+  [LogEvent.HoldsWaitedOut]: {
+    level: LogLevel.Warn,
+    fields: ["service", "waitMs", "era"],
+    meaning:
+      "the key granter can't know all holds that were granted before the store came back from an older copy, so it grants no key until they have certainly ended",
+    advice:
+      "requests for keys are refused as not run in the meantime; the wait ends by itself",
+  },
   [LogEvent.TableHistoryDiscarded]: {
     level: LogLevel.Info,
     fields: ["table", "afterVersion"],
@@ -335,8 +362,9 @@
   },
   [LogEvent.KeyGranterTermBegun]: {
     level: LogLevel.Info,
-    fields: ["term"],
-    meaning: "this daemon became the key granter",
+    fields: ["term", "era", "isContinued"],
+    meaning:
+      "this daemon became the key granter, or goes on as such in a new era of the store (`isContinued`)",
     advice:
       "if several terms begin within a minute, look at the store's errors and latency",
   },
--- a/src/host/row_store.ts
+++ b/src/host/row_store.ts
@@ -3,8 +3,10 @@
  * transactions over rows, and feeds of the changes to a table.
  */
 import type { Result } from "neverthrow";
+import type { StoreEras } from "./store_eras.ts";
 import { Service } from "../kernel/service.ts";
 import { ServiceName } from "../kernel/service_name.ts";
+import type { StoreVersion } from "../types/store_version.ts";
 import type { RouterError } from "../types/errors.ts";
 
 /** One row of the store. */
@@ -13,8 +15,8 @@
   readonly key: string;
   readonly value: Uint8Array;
   /**
-   * The version of the store at the last write to the row; 0 means that the
-   * row does not exist.
+   * The version of the store at the last write to the row, within the era of
+   * the answer or copy that contains the row.
    */
   readonly version: number;
 }
@@ -27,7 +29,7 @@
 /** The store's version and clock at one point in time. */
 export interface StoreSnapshot {
   /** The newest version in the store. */
-  readonly version: number;
+  readonly version: StoreVersion;
   /** Time of the store's monotonic clock. */
   readonly storeTimeMs: number;
 }
@@ -49,7 +51,8 @@
 export interface RowCondition {
   readonly table: string;
   readonly key: string;
-  readonly version: number;
+  /** The number 0 means that the row must not exist. */
+  readonly version: StoreVersion;
 }
 
 export interface RowWrite {
@@ -74,7 +77,7 @@
 /** Which changes of a table to wait for, and how long. */
 export interface ChangesRequest {
   /** The version of the store up to which the caller has the changes. */
-  readonly afterVersion: number;
+  readonly afterVersion: StoreVersion;
   /** How long the store waits for a change (long poll). */
   readonly waitMs: number;
   /** How long the client waits for the store's answer. */
@@ -89,6 +92,9 @@
 export abstract class RowStore extends Service {
   override readonly name = ServiceName.RowStore;
 
+  /** The store's eras, as its answers tell them. */
+  abstract readonly eras: StoreEras;
+
   /** Reads all rows of a table, or one row when `key` is given. */
   abstract read(
     table: string,
@@ -98,13 +104,18 @@
   /**
    * Waits up to `waitMs` for changes after a version. The error code
    * `MessageCode.StoreHistoryDiscarded` means that the store no longer has all
-   * of those changes and the caller must read the whole table again.
+   * of those changes, or has begun a new era, and the caller must read the whole
+   * table again.
    */
   abstract follow(
     table: string,
     options: ChangesRequest,
   ): Promise<Result<ChangesAnswer, RouterError>>;
 
+  /**
+   * Applies a transaction. One whose conditions were read in another era is not
+   * sent; if the era changes before the answer, the outcome is unknown.
+   */
   abstract transact(
     transaction: RowTransaction,
     options: { readonly timeoutMs: number },
--- a/src/services/directory/followed_directory.ts
+++ b/src/services/directory/followed_directory.ts
@@ -19,6 +19,10 @@
 const reregistrationMs = 2_400;
 /** When at least this fraction of the servers is missing, the store has lost the entries of running servers; fewer missing servers have stopped. */
 const lostEntriesFraction = 0.3;
+/** Removed incarnations are known this long. */
+const knownRemovalMs = 30_000;
+/** An entry that came back with an older copy of the store is removed again after three missed heartbeats if its server has ended. */
+const deadEntryMs = 4_000;
 /** Timers may fire slightly early by the monotonic clock. */
 const timerSlackMs = 10;
 
@@ -30,6 +34,12 @@
   readonly #missingIds = new Set<string>();
   readonly #malformedIds = new Set<string>();
   readonly #announcements = new LeavingAnnouncements();
+  /** Instant of the last removal, by incarnation. */
+  readonly #removedAtMs = new Map<string, number>();
+  /** Incarnations that were removed before the store came back from an older copy, which may contain their entries. */
+  #distrusted: ReadonlySet<string> = new Set();
+  /** Whether entries are missing because the store has lost them. */
+  #isAfterOlderCopy = false;
   #usableByService = new Map<string, ServerEntry[]>();
   #evacuatedByService = new Map<string, ServerEntry[]>();
   #services: ServiceLookup | undefined;
@@ -51,11 +61,12 @@
       table: serverTable,
       reader: {
         onStoreReachable: () => this.#startReregistrationPeriod(),
+        onNewEra: () => this.#beginEra(),
         onRows: (rows) => this.#replaceAll(rows),
         onChanges: (changes) => {
           for (const change of changes) {
             if (change.isRemoved) this.#remove(change.key);
-            else this.#put(change);
+            else this.#putWritten(change);
           }
           this.#publish();
         },
@@ -146,6 +157,44 @@
     clock.after(reregistrationMs + timerSlackMs, () => this.#deleteMissing());
   }
 
+  /**
+   * Keeps what is known of servers when the store comes back from an older
+   * copy: those that were leaving or gone may be listed as usable again, and
+   * those that registered last may be missing.
+   */
+  #beginEra(): void {
+    const clock = this.#services!.get(ServiceName.Clock);
+    const nowMs = clock.nowMs();
+    for (const entry of this.#entries.values()) {
+      if (entry.isDraining) {
+        this.#announcements.add(incarnationOf(entry), nowMs);
+      }
+    }
+    this.#distrusted = new Set(
+      [...this.#removedAtMs]
+        .filter(([, removedAtMs]) => nowMs - removedAtMs < knownRemovalMs)
+        .map(([incarnation]) => incarnation),
+    );
+    this.#isAfterOlderCopy = true;
+    this.#startReregistrationPeriod();
+    clock.after(deadEntryMs, () => {
+      this.#distrusted = new Set();
+      this.#publish();
+    });
+  }
+
+  /** Accepts an entry that its server has written since the last snapshot. */
+  #putWritten(row: StoredRow): void {
+    this.#put(row);
+    const entry = this.#entries.get(row.key);
+    if (entry === undefined) return;
+    const incarnation = incarnationOf(entry);
+    if (!this.#distrusted.has(incarnation)) return;
+    const distrusted = new Set(this.#distrusted);
+    distrusted.delete(incarnation);
+    this.#distrusted = distrusted;
+  }
+
   #replaceAll(rows: readonly StoredRow[]): void {
     const present = new Set(rows.map(({ key }) => key));
     for (const id of [...this.#entries.keys()]) {
@@ -210,15 +259,29 @@
   }
 
   #delete(id: string): void {
+    const entry = this.#entries.get(id);
+    if (entry !== undefined) this.#noteRemoved(entry);
     this.#entries.delete(id);
     this.#missingIds.delete(id);
     this.#services!.get(ServiceName.Log)
       .write(LogEvent.ServerRemoved, { server: id });
   }
 
+  #noteRemoved(entry: ServerEntry): void {
+    const nowMs = this.#services!.get(ServiceName.Clock).nowMs();
+    for (const [incarnation, removedAtMs] of this.#removedAtMs) {
+      if (nowMs - removedAtMs < knownRemovalMs) break;
+      this.#removedAtMs.delete(incarnation);
+    }
+    this.#removedAtMs.delete(incarnationOf(entry));
+    this.#removedAtMs.set(incarnationOf(entry), nowMs);
+  }
+
   /** Removes the missing servers once the time for registering again has passed. */
   #deleteMissing(): void {
-    if (!this.isComplete() || this.#missingIds.size === 0) return;
+    if (!this.isComplete()) return;
+    this.#isAfterOlderCopy = false;
+    if (this.#missingIds.size === 0) return;
     for (const id of [...this.#missingIds]) this.#delete(id);
     this.#publish();
   }
@@ -227,10 +290,11 @@
     const evacuations = this.#services!.get(ServiceName.Evacuations);
     const usableByService = new Map<string, ServerEntry[]>();
     const evacuatedByService = new Map<string, ServerEntry[]>();
-    const hasStoreLostEntries =
+    const hasStoreLostEntries = this.#isAfterOlderCopy ||
       this.#missingIds.size >= this.#entries.size * lostEntriesFraction;
     for (const entry of this.#entries.values()) {
       if (entry.isDraining) continue;
+      if (this.#distrusted.has(incarnationOf(entry))) continue;
       if (!hasStoreLostEntries && this.#missingIds.has(entry.id)) continue;
       const byService = evacuations.isEvacuated(entry.zone)
         ? evacuatedByService
--- a/src/services/evacuation/followed_evacuations.ts
+++ b/src/services/evacuation/followed_evacuations.ts
@@ -14,6 +14,9 @@
 /** Ends of evacuations are known this long; it bounds what many rows of another writer can occupy. */
 const knownEndMs = 600_000;
 
+/** Operators write their rows again within this time after the store came back from an older copy. */
+const rewriteMs = 3_000;
+
 /** Implements `Evacuations` from the rows of the operators' table. */
 export class FollowedEvacuations extends Evacuations {
   override readonly changed = new ChangeSignal();
@@ -22,6 +25,8 @@
   readonly #beganAtMs = new Map<string, number>();
   /** The instant at which this daemon learned of the end of each earlier evacuation, by data centre. */
   readonly #endedAtMs = new Map<string, number>();
+  /** The rows as of an older copy of the store, by data centre; undefined once they count. */
+  #unsettled: Map<string, number> | undefined;
   #services: ServiceLookup | undefined;
 
   override get dependencies(): readonly ServiceName[] {
@@ -38,6 +43,7 @@
     this.#following.start(services, {
       table: tables.configurationTable,
       reader: {
+        onNewEra: () => this.#beginEra(),
         onRows: (rows) => {
           const present = new Map(
             rows.flatMap(({ key, version }) => {
@@ -45,17 +51,20 @@
               return zone === undefined ? [] : [[zone, version] as const];
             }),
           );
-          for (const zone of this.evacuatedZones()) {
-            if (!present.has(zone)) this.#end(zone);
-          }
-          for (const [zone, version] of present) this.#begin(zone, version);
+          if (this.#unsettled === undefined) this.#replaceAll(present);
+          else this.#unsettled = present;
         },
         onChanges: (changes) => {
           for (const { key, version, isRemoved } of changes) {
             const zone = tables.tryGetEvacuatedZone(key);
             if (zone === undefined) continue;
-            if (isRemoved) this.#end(zone, version);
-            else this.#begin(zone, version);
+            if (isRemoved) {
+              this.#unsettled?.delete(zone);
+              this.#end(zone, version);
+            } else {
+              this.#unsettled?.set(zone, version);
+              this.#begin(zone, version);
+            }
           }
         },
       },
@@ -84,6 +93,25 @@
     return sinceMs !== undefined && sinceMs < knownEndMs ? sinceMs : undefined;
   }
 
+  /** Keeps the known evacuations until operators have written their rows again. */
+  #beginEra(): void {
+    const isSettling = this.#unsettled !== undefined;
+    this.#unsettled = new Map();
+    if (isSettling) return;
+    this.#services!.get(ServiceName.Clock).after(rewriteMs, () => {
+      const present = this.#unsettled ?? new Map<string, number>();
+      this.#unsettled = undefined;
+      this.#replaceAll(present);
+    });
+  }
+
+  #replaceAll(present: ReadonlyMap<string, number>): void {
+    for (const zone of this.evacuatedZones()) {
+      if (!present.has(zone)) this.#end(zone);
+    }
+    for (const [zone, version] of present) this.#begin(zone, version);
+  }
+
   #begin(zone: string, rowVersion: number): void {
     if (this.isEvacuated(zone)) return;
     const services = this.#services!;
--- a/src/services/feeds/store_table_feed.ts
+++ b/src/services/feeds/store_table_feed.ts
@@ -6,6 +6,7 @@
  */
 import { LogEvent } from "../../diagnostics/log_events.ts";
 import { MessageCode } from "../../diagnostics/messages.ts";
+import { EraRelation } from "../../host/store_eras.ts";
 import { LimitedSignal } from "../../host/limited_signal.ts";
 import type { RowChange, StoredRow } from "../../host/row_store.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
@@ -13,7 +14,8 @@
 import { ChangeSignal } from "../../streams/change_signal.ts";
 import type { RouterError } from "../../types/errors.ts";
 import { CounterName } from "../metrics/metrics.ts";
-import { TableCopy } from "./table_copy.ts";
+import type { StoreVersion } from "../../types/store_version.ts";
+import { TableCopy, type TableUpdate } from "./table_copy.ts";
 import {
   type FollowOptions,
   TableFeed,
@@ -83,6 +85,7 @@
   override readonly cutOffChanged = new ChangeSignal();
   readonly #tables = new Map<string, FollowedTable>();
   readonly #sourceChanged = new ChangeSignal();
+  readonly #logging = createStopController();
   /** Notified when the store answers again for some table. */
   readonly #answersAgain = new ChangeSignal();
   #services: ServiceLookup | undefined;
@@ -109,6 +112,12 @@
 
   override start(services: ServiceLookup): Promise<void> {
     this.#services = services;
+    void this.#logEras(services);
+    return Promise.resolve();
+  }
+
+  override stop(): Promise<void> {
+    this.#logging.abort();
     return Promise.resolve();
   }
 
@@ -162,7 +171,7 @@
     if (!this.#isSourceDecided) this.setUsesRelay(false);
   }
 
-  override versions(): ReadonlyMap<string, number | undefined> {
+  override versions(): ReadonlyMap<string, StoreVersion | undefined> {
     return new Map(
       [...this.#tables].map(([table, { copy }]) => [table, copy.version]),
     );
@@ -179,7 +188,7 @@
   }
 
   override updatesAfter(
-    versions: ReadonlyMap<string, number | undefined>,
+    versions: ReadonlyMap<string, StoreVersion | undefined>,
   ): TableUpdates {
     return new Map(
       [...versions].flatMap(([table, version]) => {
@@ -194,7 +203,10 @@
     for (const [table, update] of updates) {
       const followed = this.#tables.get(table);
       if (followed === undefined) continue;
-      const origin = this.#recordAnswer(followed, TableSource.Granter);
+      if (this.#isOlderEra(update)) continue;
+      const { era } = update.version;
+      const source = TableSource.Granter;
+      const origin = this.#recordAnswer(followed, { source, era });
       followed.copy.apply(update, origin);
     }
     if (updates.size > 0) this.changed.notify();
@@ -203,8 +215,12 @@
   override applyFromPeer(updates: TableUpdates): void {
     for (const [table, update] of updates) {
       const copy = this.#tables.get(table)?.copy;
-      const silentMs = copy && this.#silentMsOf(copy);
-      copy?.apply(update, { source: TableSource.Peer, silentMs });
+      if (copy === undefined || this.#isOlderEra(update)) continue;
+      copy.apply(update, {
+        source: TableSource.Peer,
+        era: update.version.era,
+        silentMs: this.#silentMsOf(copy),
+      });
     }
     if (updates.size > 0) this.changed.notify();
   }
@@ -257,7 +273,10 @@
       .read(followed.table, { timeoutMs: readTimeoutMs });
     if (answer.isErr()) return answer.error;
     const { rows, version } = answer.value;
-    const origin = this.#recordAnswer(followed, TableSource.Store);
+    const origin = this.#recordAnswer(followed, {
+      source: TableSource.Store,
+      era: version.era,
+    });
     followed.copy.apply({
       version,
       isSnapshot: true,
@@ -268,7 +287,7 @@
 
   async #pollOnce(
     followed: FollowedTable,
-    afterVersion: number,
+    afterVersion: StoreVersion,
   ): Promise<RouterError | undefined> {
     const { table, copy, stopping: { signal } } = followed;
     const waitMs = this.#longPollWaitMs(followed);
@@ -286,7 +305,10 @@
     if (polling.aborted) return;
     if (answer.isErr()) return answer.error;
     const { changes, version } = answer.value;
-    const origin = this.#recordAnswer(followed, TableSource.Store);
+    const origin = this.#recordAnswer(followed, {
+      source: TableSource.Store,
+      era: version.era,
+    });
     copy.apply({ version, isSnapshot: false, changes }, origin);
     if (changes.length === 0) return;
     this.changed.notify();
@@ -324,7 +346,7 @@
     if (failure.code === MessageCode.StoreHistoryDiscarded) {
       log.write(LogEvent.TableHistoryDiscarded, {
         table,
-        afterVersion: copy.version,
+        afterVersion: copy.version?.number,
       });
       const readFailure = await this.#readSnapshot(followed);
       if (readFailure === undefined) return;
@@ -333,7 +355,7 @@
       log.write(LogEvent.TableFeedLost, {
         table,
         error: failure.message,
-        version: copy.version,
+        version: copy.version?.number,
       });
     }
     followed.isAnswered = false;
@@ -367,7 +389,10 @@
   }
 
   /** Records that the source answered for a table; returns the origin of what it sent. */
-  #recordAnswer(followed: FollowedTable, source: TableSource): UpdateOrigin {
+  #recordAnswer(
+    followed: FollowedTable,
+    { source, era }: Pick<UpdateOrigin, "source" | "era">,
+  ): UpdateOrigin {
     const silentMs = this.#silentMsOf(followed.copy);
     followed.copy.confirmedAtMs = this.#nowMs();
     followed.lastSource = source;
@@ -379,14 +404,45 @@
       this.#services!.get(ServiceName.Log)
         .write(LogEvent.TableFeedEstablished, {
           table: followed.table,
-          afterVersion: followed.copy.version,
+          afterVersion: followed.copy.version?.number,
           silentMs,
         });
       if (silentMs === undefined || silentMs > outageMs) {
         followed.copy.noteStoreReachable();
       }
     }
-    return { source, silentMs };
+    return { source, era, silentMs };
+  }
+
+  /** Notes the era of an update from another daemon; returns true if a newer one is known. */
+  #isOlderEra({ version }: TableUpdate): boolean {
+    const { eras } = this.#services!.get(ServiceName.RowStore);
+    return eras.note(version.era, this.#nowMs()) === EraRelation.Older;
+  }
+
+  /** Logs each new era, and the first answer without one. */
+  async #logEras(services: ServiceLookup): Promise<void> {
+    const { eras } = services.get(ServiceName.RowStore);
+    const log = services.get(ServiceName.Log);
+    const { signal } = this.#logging;
+    let logged: number | undefined;
+    while (!signal.aborted) {
+      await eras.changed.wait(signal);
+      if (signal.aborted) return;
+      if (eras.previous === undefined || eras.current === logged) {
+        log.write(LogEvent.StoreEraMissing, { era: eras.current });
+        continue;
+      }
+      services.get(ServiceName.Metrics).count(CounterName.StoreErasBegun);
+      log.write(LogEvent.StoreEraBegun, {
+        era: eras.current,
+        eraBefore: eras.previous,
+        versions: [...this.#tables]
+          .map(([table, { copy }]) => `${table} ${copy.version?.number}`)
+          .join(),
+      });
+      logged = eras.current;
+    }
   }
 
   /** Time since a copy was last known to be current; undefined before the first answer. */
@@ -408,7 +464,7 @@
     if (isCutOff) {
       log.write(LogEvent.TablesCutOff, {
         tables: failing.map(({ table }) => table).join(),
-        version: failing[0]!.copy.version,
+        version: failing[0]!.copy.version?.number,
       });
     } else {
       log.write(LogEvent.TablesConnected, {
--- a/src/services/feeds/table_feed.ts
+++ b/src/services/feeds/table_feed.ts
@@ -6,6 +6,7 @@
 import { Service } from "../../kernel/service.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import type { ChangeSignal } from "../../streams/change_signal.ts";
+import type { StoreVersion } from "../../types/store_version.ts";
 import type { TableReader, TableUpdate } from "./table_copy.ts";
 
 /** Updates by the name of their table. */
@@ -33,7 +34,7 @@
   abstract follow(table: string, options: FollowOptions): Promise<void>;
 
   /** The version of each copy by table; undefined before the first snapshot. */
-  abstract versions(): ReadonlyMap<string, number | undefined>;
+  abstract versions(): ReadonlyMap<string, StoreVersion | undefined>;
 
   /** Notified when `isCutOff` changes. */
   abstract readonly cutOffChanged: ChangeSignal;
@@ -46,7 +47,7 @@
 
   /** Returns the updates that copies of the given versions lack. */
   abstract updatesAfter(
-    versions: ReadonlyMap<string, number | undefined>,
+    versions: ReadonlyMap<string, StoreVersion | undefined>,
   ): TableUpdates;
 
   /** Applies updates that the relay sent. */
--- a/src/services/feeds/update_origin.ts
+++ b/src/services/feeds/update_origin.ts
@@ -13,6 +13,8 @@
 /** The origin of one update. */
 export interface UpdateOrigin {
   readonly source: TableSource;
+  /** The era of the store that the update is of. */
+  readonly era: number;
   /** Time since the copy was last known to be current; undefined for the first update. */
   readonly silentMs: number | undefined;
 }
--- a/src/services/fleet/http_fleet_link.ts
+++ b/src/services/fleet/http_fleet_link.ts
@@ -13,7 +13,7 @@
 import { FleetCallError, FleetCalls, FleetPath } from "./fleet_calls.ts";
 import { FleetLink } from "./fleet_link.ts";
 import { PeerExchange } from "./peer_exchange.ts";
-import { decodeSyncAnswer, encodeSyncRequest } from "./sync_codec.ts";
+import { decodeSyncAnswer, encodeSyncRequest, isOfEra } from "./sync_codec.ts";
 import { statusStale, SyncResponder } from "./sync_responder.ts";
 import { createStopController } from "../../streams/stop_controller.ts";
 
@@ -57,6 +57,7 @@
       ServiceName.Random,
       ServiceName.Log,
       ServiceName.Metrics,
+      ServiceName.RowStore,
       ServiceName.TableFeed,
       ServiceName.Directory,
       ServiceName.KeySpace,
@@ -166,9 +167,12 @@
           waitMs: this.#wasLastSyncAnswered ? syncWaitMs : 0,
         }),
       });
-      const answer = decodeSyncAnswer(bytes);
+      const { eras } = services.get(ServiceName.RowStore);
+      const answer = decodeSyncAnswer(bytes, eras.current);
       feed.applyRelayed(answer.updates);
-      if (answer.isDirectoryComplete) directory.markComplete();
+      if (isOfEra(answer, eras.current) && answer.isDirectoryComplete) {
+        directory.markComplete();
+      }
       if (answer.capacityUpdate !== undefined) {
         this.#capacityVersion = answer.capacityUpdate.version;
         capacities.applyPooled(answer.capacityUpdate.capacities, term);
--- a/src/services/fleet/http_fleet_link_test.ts
+++ b/src/services/fleet/http_fleet_link_test.ts
@@ -23,7 +23,9 @@
   OwnershipState,
 } from "../keyspace/key_space.ts";
 import { LoadCounts } from "../keyspace/load_counts.ts";
+import { FakeRows, FakeRowStore } from "../../testing/fake_row_store.ts";
 import type { ServerEntry } from "../../types/routing.ts";
+import type { StoreVersion } from "../../types/store_version.ts";
 import { HttpFleetLink } from "./http_fleet_link.ts";
 import { decodeSyncAnswer, encodeSyncRequest } from "./sync_codec.ts";
 
@@ -61,7 +63,7 @@
     return Promise.resolve();
   }
 
-  override versions(): ReadonlyMap<string, number | undefined> {
+  override versions(): ReadonlyMap<string, StoreVersion | undefined> {
     return new Map();
   }
 
@@ -71,7 +73,7 @@
 
   override updatesAfter(): TableUpdates {
     return new Map([["servers", {
-      version: 1,
+      version: { era: 0, number: 1 },
       isSnapshot: false,
       changes: [],
     }]]);
@@ -80,7 +82,7 @@
   override applyRelayed(): void {}
 
   override applyFromPeer(updates: TableUpdates): void {
-    this.passedOnVersions.push(updates.get("servers")?.version);
+    this.passedOnVersions.push(updates.get("servers")?.version.number);
   }
 
   override setUsesRelay(): void {}
@@ -134,6 +136,10 @@
     return 0;
   }
 
+  override tryGetRow(): undefined {
+    return undefined;
+  }
+
   override daemonCount(): number {
     return 1;
   }
@@ -220,8 +226,12 @@
   const keySpace = new EmptyKeySpace();
   const directory = new KnownDirectory(options.isComplete);
   const feed = new AgingFeed(performance.now() - options.copyAgeMs);
+  const clock = new SystemClock();
   const kernel = new Kernel()
-    .register(new SystemClock())
+    .register(clock)
+    .register(
+      new FakeRowStore(new FakeRows(clock), { daemonId: "daemon-1", clock }),
+    )
     .register(new SeededRandomSource(1))
     .register(new RecordingLog())
     .register(new StatsdMetrics({ address: undefined, daemonId: "daemon-1" }))
@@ -251,7 +261,7 @@
     const answer = await request(`http://${host}:${port}/sync`, {
       method: "POST",
       body: encodeSyncRequest({
-        versions: new Map([["servers", 1]]),
+        versions: new Map([["servers", { era: 0, number: 1 }]]),
         load: kernel.get(ServiceName.LoadReports).takeReport(),
         capacityReport: {},
         capacityVersion: 0,
@@ -272,15 +282,15 @@
     it("answers when the wait of the request ends", async () => {
       const { status, bytes, tookMs } = await sendSync(0);
       assert.is(status, 200);
-      const answer = decodeSyncAnswer(bytes);
-      assert.is(answer.updates.get("servers")?.version, 1);
+      const answer = decodeSyncAnswer(bytes, 0);
+      assert.is(answer.updates.get("servers")?.version.number, 1);
       assert.is(answer.isDirectoryComplete, true);
       assert.ok(tookMs >= syncWaitMs - 1, `${tookMs} ms`);
     });
 
     it("reports that its directory may lack servers that still run", async () => {
       const { bytes } = await sendSync(0, { isComplete: false });
-      assert.is(decodeSyncAnswer(bytes).isDirectoryComplete, false);
+      assert.is(decodeSyncAnswer(bytes, 0).isDirectoryComplete, false);
     });
 
     it("answers 503 as soon as its copies are too old", async () => {
--- a/src/services/fleet/peer_exchange.ts
+++ b/src/services/fleet/peer_exchange.ts
@@ -9,7 +9,11 @@
 import { ServiceName } from "../../kernel/service_name.ts";
 import { CounterName } from "../metrics/metrics.ts";
 import { FleetCallError, type FleetCalls, FleetPath } from "./fleet_calls.ts";
-import { decodeSyncAnswer, encodeCopiesRequest } from "./sync_codec.ts";
+import {
+  decodeSyncAnswer,
+  encodeCopiesRequest,
+  isOfEra,
+} from "./sync_codec.ts";
 
 /** How long a daemon is cut off before it asks others; a single failed call to the store is over sooner. */
 const cutOffDelayMs = 300;
@@ -102,11 +106,14 @@
         timeoutMs: waitMs + answerMarginMs,
         signals: [this.#signal],
       });
-      const answer = decodeSyncAnswer(bytes);
+      const { eras } = this.#services.get(ServiceName.RowStore);
+      const answer = decodeSyncAnswer(bytes, eras.current);
       // Servers that are missing from the copy may be about to register again.
       if (!answer.isDirectoryComplete) directory.expectReregistrations();
       feed.applyFromPeer(answer.updates);
-      if (answer.isDirectoryComplete) directory.markComplete();
+      if (isOfEra(answer, eras.current) && answer.isDirectoryComplete) {
+        directory.markComplete();
+      }
       for (const incarnation of answer.leavingIncarnations) {
         directory.noteLeaving(incarnation);
       }
@@ -123,7 +130,7 @@
     const versions = this.#services.get(ServiceName.TableFeed).versions();
     this.#services.get(ServiceName.Log).write(LogEvent.TablesCopiedFromPeer, {
       peer,
-      version: Math.max(...[...versions.values()].map((v) => v ?? 0)),
+      version: Math.max(...[...versions.values()].map((v) => v?.number ?? 0)),
     });
   }
 
--- a/src/services/fleet/sync_codec.ts
+++ b/src/services/fleet/sync_codec.ts
@@ -10,6 +10,7 @@
   PooledCapacities,
 } from "../capacity/capacities.ts";
 import type { LoadReport } from "../keyspace/load_reports.ts";
+import type { StoreVersion } from "../../types/store_version.ts";
 import type { TableUpdate } from "../feeds/table_copy.ts";
 import type { TableUpdates } from "../feeds/table_feed.ts";
 
@@ -21,7 +22,7 @@
 /** A daemon's request to the key granter. */
 export interface SyncRequest {
   /** The version of each of the sender's copies. */
-  readonly versions: ReadonlyMap<string, number | undefined>;
+  readonly versions: ReadonlyMap<string, StoreVersion | undefined>;
   readonly load: LoadReport;
   /** What the sender has measured of the servers since its last request. */
   readonly capacityReport: CapacityReport;
@@ -40,7 +41,8 @@
 >;
 
 interface WireCopiesRequest {
-  readonly versions: readonly (readonly [string, number | null])[];
+  /** Table, version and era. Releases before eras leave the era out. */
+  readonly versions: readonly (readonly [string, number | null, number?])[];
   readonly leaving?: readonly string[];
   readonly waitMs: number;
 }
@@ -76,6 +78,8 @@
 interface WireUpdate {
   readonly table: string;
   readonly version: number;
+  /** Missing from releases before eras. */
+  readonly era?: number;
   readonly isWhole: boolean;
   /** Key, version, and the value's bytes as Latin-1; null for a removed row. */
   readonly rows: readonly (readonly [string, number, string | null])[];
@@ -96,35 +100,48 @@
   return JSON.stringify(toWireCopiesRequest(request));
 }
 
-/** Decodes a request for copies; throws when it is malformed. */
-export function decodeCopiesRequest(text: string): CopiesRequest {
-  return fromWireCopiesRequest(JSON.parse(text) as WireCopiesRequest);
+/** Decodes a request for copies; throws when it is malformed. Versions without an era are of `ownEra`. */
+export function decodeCopiesRequest(
+  text: string,
+  ownEra: number,
+): CopiesRequest {
+  return fromWireCopiesRequest(JSON.parse(text) as WireCopiesRequest, ownEra);
 }
 
 function toWireCopiesRequest(request: CopiesRequest): WireCopiesRequest {
   return {
     versions: [...request.versions]
-      .map(([table, version]) => [table, version ?? null]),
+      .map(([table, version]) =>
+        version === undefined
+          ? [table, null]
+          : [table, version.number, version.era]
+      ),
     ...encodeLeaving(request.leavingIncarnations),
     waitMs: request.waitMs,
   };
 }
 
-function fromWireCopiesRequest(wire: WireCopiesRequest): CopiesRequest {
+function fromWireCopiesRequest(
+  wire: WireCopiesRequest,
+  ownEra: number,
+): CopiesRequest {
   return {
     versions: new Map(
-      wire.versions.map(([table, version]) => [table, version ?? undefined]),
+      wire.versions.map(([table, number, era = ownEra]) => [
+        table,
+        number === null ? undefined : { era, number },
+      ]),
     ),
     leavingIncarnations: wire.leaving ?? [],
     waitMs: wire.waitMs,
   };
 }
 
-/** Decodes a request; throws when it is malformed. */
-export function decodeSyncRequest(text: string): SyncRequest {
+/** Decodes a request; throws when it is malformed. Versions without an era are of `ownEra`. */
+export function decodeSyncRequest(text: string, ownEra: number): SyncRequest {
   const wire = JSON.parse(text) as WireRequest;
   return {
-    ...fromWireCopiesRequest(wire),
+    ...fromWireCopiesRequest(wire, ownEra),
     load: wire.load,
     capacityReport: wire.measured ?? {},
     capacityVersion: wire.capacityVersion,
@@ -134,7 +151,8 @@
 export function encodeSyncAnswer(answer: SyncAnswer): Uint8Array {
   const updates: WireUpdate[] = [...answer.updates].map(([table, update]) => ({
     table,
-    version: update.version,
+    version: update.version.number,
+    era: update.version.era,
     isWhole: update.isSnapshot,
     rows: update.changes.map(({ key, version, value, isRemoved }) => [
       key,
@@ -152,16 +170,19 @@
   return deflateRawSync(JSON.stringify(wire), { level: compressionLevel });
 }
 
-/** Decodes the answer to a request; throws when it is malformed. */
-export function decodeSyncAnswer(bytes: Uint8Array): SyncAnswer {
+/** Decodes the answer to a request; throws when it is malformed. Versions without an era are of `ownEra`. */
+export function decodeSyncAnswer(
+  bytes: Uint8Array,
+  ownEra: number,
+): SyncAnswer {
   const text = inflateRawSync(bytes, { maxOutputLength: maxAnswerBytes })
     .toString("utf8");
   const wire = JSON.parse(text) as WireAnswer;
   const updates = new Map(
-    wire.updates.map(({ table, version, isWhole, rows }) => [
+    wire.updates.map(({ table, version, era = ownEra, isWhole, rows }) => [
       table,
       {
-        version,
+        version: { era, number: version },
         isSnapshot: isWhole,
         changes: rows.map(([key, rowVersion, value]) => ({
           table,
@@ -184,6 +205,11 @@
   };
 }
 
+/** Whether what an answer says of the servers is of the given era of the store. */
+export function isOfEra({ updates }: SyncAnswer, era: number): boolean {
+  return [...updates.values()].every(({ version }) => version.era === era);
+}
+
 /** Leaves the usual empty table of estimates out. */
 function encodeCapacities(
   update: CapacityUpdate | undefined,
--- a/src/services/fleet/sync_codec_test.ts
+++ b/src/services/fleet/sync_codec_test.ts
@@ -17,10 +17,15 @@
 } from "./sync_codec.ts";
 
 const table = "fleet";
+const ownEra = 2;
 
 function createAnswer(changes: readonly RowChange[]): SyncAnswer {
   return {
-    updates: new Map([[table, { version: 9, isSnapshot: false, changes }]]),
+    updates: new Map([[table, {
+      version: { era: 2, number: 9 },
+      isSnapshot: false,
+      changes,
+    }]]),
     isDirectoryComplete: true,
     leavingIncarnations: ["server-1@5"],
     capacityUpdate: { version: 4, capacities: { "server-1@5": [2.5, 1.4] } },
@@ -59,7 +64,10 @@
       { table, key: "a", version: 7, value, isRemoved: false },
       { table, key: "b", version: 8, value: Buffer.alloc(0), isRemoved: true },
     ];
-    const decoded = decodeSyncAnswer(encodeSyncAnswer(createAnswer(changes)));
+    const decoded = decodeSyncAnswer(
+      encodeSyncAnswer(createAnswer(changes)),
+      ownEra,
+    );
     const { version, isSnapshot, changes: received } = decoded.updates.get(
       table,
     )!;
@@ -69,7 +77,7 @@
       version: 4,
       capacities: { "server-1@5": [2.5, 1.4] },
     });
-    assert.is(version, 9);
+    assert.equal(version, { era: 2, number: 9 });
     assert.is(isSnapshot, false);
     assert.equal([...received[0]!.value], [...value]);
     assert.equal(received.map(({ key, isRemoved }) => [key, isRemoved]), [
@@ -88,7 +96,7 @@
 
   describe("between releases with and without learned capacities", () => {
     const request = {
-      versions: new Map([[table, 3]]),
+      versions: new Map([[table, { era: 2, number: 3 }]]),
       load: { keys: { roster: [[1, 2] as const] } },
       capacityReport: { "server-1@5": [[LoadBand.Half, 3, -12, 0] as const] },
       capacityVersion: 4,
@@ -97,7 +105,7 @@
     };
 
     it("keeps counts and the version", () => {
-      const decoded = decodeSyncRequest(encodeSyncRequest(request));
+      const decoded = decodeSyncRequest(encodeSyncRequest(request), ownEra);
       assert.equal(decoded.capacityReport, request.capacityReport);
       assert.is(decoded.capacityVersion, 4);
     });
@@ -115,7 +123,7 @@
         load: { ...load, work },
         waitMs,
       });
-      const decoded = decodeSyncRequest(text);
+      const decoded = decodeSyncRequest(text, ownEra);
       assert.equal(decoded.capacityReport, {});
       assert.is(decoded.capacityVersion, undefined);
       assert.equal(decoded.load.keys, load.keys);
@@ -123,7 +131,7 @@
 
     it("leaves estimates out of the answer to an earlier daemon", () => {
       const answer = { ...createAnswer([]), capacityUpdate: undefined };
-      const decoded = decodeSyncAnswer(encodeSyncAnswer(answer));
+      const decoded = decodeSyncAnswer(encodeSyncAnswer(answer), ownEra);
       assert.is(decoded.capacityUpdate, undefined);
     });
 
@@ -147,6 +155,6 @@
   });
 
   it("throws on bytes that are not an encoded answer", () => {
-    assert.throws(() => decodeSyncAnswer(Buffer.from("no answer")));
+    assert.throws(() => decodeSyncAnswer(Buffer.from("no answer"), ownEra));
   });
 });
--- a/src/services/fleet/sync_responder.ts
+++ b/src/services/fleet/sync_responder.ts
@@ -54,7 +54,10 @@
   ): Promise<void> {
     const services = this.#services;
     try {
-      const sync = decodeSyncRequest(String(await readBytes(request)));
+      const sync = decodeSyncRequest(
+        String(await readBytes(request)),
+        this.#era,
+      );
       if (!services.get(ServiceName.KeyGranter).addLoad(sync.load)) {
         return void response.writeHead(statusNotGranter).end();
       }
@@ -72,7 +75,10 @@
     response: ServerResponse,
   ): Promise<void> {
     try {
-      const copies = decodeCopiesRequest(String(await readBytes(request)));
+      const copies = decodeCopiesRequest(
+        String(await readBytes(request)),
+        this.#era,
+      );
       this.#noteLeaving(copies);
       sendAnswer(response, await this.#waitForCopies(copies));
     } catch (error) {
@@ -80,6 +86,10 @@
     }
   }
 
+  get #era(): number {
+    return this.#services.get(ServiceName.RowStore).eras.current;
+  }
+
   #noteLeaving({ leavingIncarnations }: CopiesRequest): void {
     const directory = this.#services.get(ServiceName.Directory);
     for (const incarnation of leavingIncarnations) {
--- a/src/services/keyspace/fleet_rows.ts
+++ b/src/services/keyspace/fleet_rows.ts
@@ -3,6 +3,7 @@
  * keys, the daemons of the fleet, the address of the key granter, and its lease.
  */
 import type { StoredRow } from "../../host/row_store.ts";
+import type { StoreVersion } from "../../types/store_version.ts";
 import { keyCount, type KeyInterval } from "../../types/routing.ts";
 
 /** The table that every daemon follows. */
@@ -120,6 +121,8 @@
 
 /** JSON form of the ranges: each server is listed once, and ranges refer to servers by index. */
 interface WireRanges {
+  /** The era of the store in which the row was written; missing in rows of earlier releases. */
+  readonly era?: number;
   readonly servers: readonly (readonly [string, number, string])[];
   /** First key, index of the target or -1, whether the target is serving, and index and end of each former holder. */
   readonly ranges:
@@ -141,8 +144,11 @@
   });
 }
 
-/** Encodes the ranges of one row. */
-export function encodeRanges(records: readonly RangeRecord[]): Uint8Array {
+/** Encodes the ranges of one row, which is written in an era of the store. */
+export function encodeRanges(
+  records: readonly RangeRecord[],
+  era = 0,
+): Uint8Array {
   const indexByIncarnation = new Map<string, number>();
   const servers: [string, number, string][] = [];
   function indexOf(server: ServerRef): number {
@@ -165,13 +171,18 @@
       ),
     ] as const
   );
-  return encodeJson({ servers, ranges } as WireRanges);
+  return encodeJson({ era, servers, ranges } as WireRanges);
 }
 
-/** Decodes the ranges of one row; throws when the row is malformed. */
-export function decodeRanges(
-  row: Pick<StoredRow, "value" | "key">,
-): RangeRecord[] {
+/** The content of a row that holds owners. */
+export interface KeysRow {
+  /** When the row was written; orders the rows of several eras, also those that an older copy of the store has brought back. */
+  readonly writtenAt: StoreVersion;
+  readonly ranges: readonly RangeRecord[];
+}
+
+/** Decodes a row that holds owners; throws when it is malformed. */
+export function decodeKeysRow(row: StoredRow): KeysRow {
   const end = (parseKeysRowKey(row.key).index + 1) * keysPerRow;
   const wire = decodeJson(row) as WireRanges;
   const servers = wire.servers.map(([id, bornAtMs, address]) => ({
@@ -179,7 +190,7 @@
     bornAtMs,
     address,
   }));
-  return wire.ranges.map(([first, target, isServing, former], i) => ({
+  const ranges = wire.ranges.map(([first, target, isServing, former], i) => ({
     first,
     last: (wire.ranges[i + 1]?.[0] ?? end) - 1,
     target: servers[target],
@@ -189,6 +200,7 @@
       endsAtStoreMs,
     })),
   }));
+  return { writtenAt: { era: wire.era ?? 0, number: row.version }, ranges };
 }
 
 /** Encodes a value as JSON bytes. */
--- a/src/services/keyspace/followed_key_space.ts
+++ b/src/services/keyspace/followed_key_space.ts
@@ -10,24 +10,32 @@
   type DaemonRecord,
   daemonRowKey,
   decodeJson,
-  decodeRanges,
+  decodeKeysRow,
   encodeJson,
   FleetRowKind,
   fleetTable,
   type GranterRecord,
+  type KeysRow,
   keysRowCount,
+  type KeysRowId,
   keysRowIndexOf,
   parseDaemonRowKey,
   parseKeysRowKey,
   type RangeRecord,
   tryClassifyRow,
 } from "./fleet_rows.ts";
+import {
+  compareStoreVersions,
+  type StoreVersion,
+} from "../../types/store_version.ts";
 import { type KeyOwnership, KeySpace, OwnershipState } from "./key_space.ts";
 
 /** Timeout of the write of the daemon's row; long enough for a slow store. */
 const registrationTimeoutMs = 1_500;
 /** Delay after a failed write of the daemon's row. */
 const registrationRetryDelayMs = 1_000;
+/** Longest delay before the row is written again after the store came back from an older copy. */
+const registrationSpreadMs = 1_000;
 
 const unowned: KeyOwnership = {
   state: OwnershipState.Unowned,
@@ -47,12 +55,11 @@
 /** A daemon's record, and the version of its row. */
 interface KnownDaemon {
   readonly record: DaemonRecord;
-  readonly version: number;
+  readonly version: StoreVersion;
 }
 
 /** The decoded content of a row that holds owners. */
-interface OwnersRow {
-  readonly version: number;
+interface OwnersRow extends KeysRow {
   readonly ranges: readonly KnownRange[];
 }
 
@@ -97,11 +104,13 @@
       table: fleetTable,
       readsStoreImmediately: true,
       reader: {
-        onRows: (rows) => {
+        onRows: (rows, { era }) => {
           this.#isLoaded = true;
-          this.#apply(rows);
+          // The store may have lost the row since it was written.
+          this.#daemons.delete(daemonRowKey(this.#daemonId));
+          this.#apply(rows, era);
         },
-        onChanges: (changes) => this.#apply(changes),
+        onChanges: (changes, { era }) => this.#apply(changes, era),
       },
     });
     void this.#registerDaemon(services);
@@ -140,6 +149,10 @@
     return this.#versionByService.get(service) ?? 0;
   }
 
+  override tryGetRow({ service, index }: KeysRowId): KeysRow | undefined {
+    return this.#ownersByService.get(service)?.[index];
+  }
+
   override daemonCount(): number {
     return Math.max(1, this.#daemons.size);
   }
@@ -173,18 +186,29 @@
     return this.#granter;
   }
 
-  /** Writes this daemon's row, unless it already says what this process would write. */
+  /** Writes this daemon's row whenever the table doesn't say what this process would write. */
   async #registerDaemon(services: ServiceLookup): Promise<void> {
     const { signal } = this.#following;
     const clock = services.get(ServiceName.Clock);
+    const { eras } = services.get(ServiceName.RowStore);
     const key = daemonRowKey(this.#daemonId);
     while (!this.#isLoaded && !signal.aborted) await this.changed.wait(signal);
-    while (!signal.aborted && !this.#isOwnRowCurrent(key)) {
+    while (!signal.aborted) {
+      if (this.#isOwnRowCurrent(key)) {
+        await this.changed.wait(signal);
+        continue;
+      }
+      if (eras.changedAtMs !== undefined) {
+        // Many daemons may have lost their rows at the same time.
+        const fraction = services.get(ServiceName.Random).nextFraction();
+        await clock.sleep(fraction * registrationSpreadMs, signal);
+      }
       const written = await services.get(ServiceName.RowStore).transact({
         conditions: [{
           table: fleetTable,
           key,
-          version: this.#daemons.get(key)?.version ?? 0,
+          version: this.#daemons.get(key)?.version ??
+            { era: eras.current, number: 0 },
         }],
         writes: [{
           table: fleetTable,
@@ -192,7 +216,13 @@
           value: encodeJson(this.#ownRecord),
         }],
       }, { timeoutMs: registrationTimeoutMs });
-      if (written.isOk() && written.value.isApplied) return;
+      if (written.isOk() && written.value.isApplied) {
+        this.#daemons.set(key, {
+          record: this.#ownRecord,
+          version: written.value.version,
+        });
+        continue;
+      }
       await clock.sleep(registrationRetryDelayMs, signal);
     }
   }
@@ -203,10 +233,10 @@
       address === this.#ownRecord.address;
   }
 
-  #apply(rows: readonly StoredRow[]): void {
+  #apply(rows: readonly StoredRow[], era: number): void {
     for (const row of rows) {
       try {
-        this.#applyRow(row);
+        this.#applyRow(row, era);
       } catch (error) {
         this.#services!.get(ServiceName.Log)
           .write(LogEvent.FleetRowMalformed, {
@@ -238,7 +268,7 @@
     return this.#services!.get(ServiceName.Clock).nowMs();
   }
 
-  #applyRow(row: StoredRow): void {
+  #applyRow(row: StoredRow, era: number): void {
     const kind = tryClassifyRow(row.key);
     switch (kind) {
       case undefined:
@@ -246,25 +276,29 @@
       case FleetRowKind.Daemon:
         this.#daemons.set(row.key, {
           record: decodeJson(row) as DaemonRecord,
-          version: row.version,
+          version: { era, number: row.version },
         });
         return;
-      case FleetRowKind.Granter:
-        this.#granter = decodeJson(row) as GranterRecord;
+      case FleetRowKind.Granter: {
+        const record = decodeJson(row) as GranterRecord;
+        // An older copy of the store names an earlier granter.
+        if (record.term < (this.#granter?.term ?? 0)) return;
+        this.#granter = record;
         return;
+      }
       case FleetRowKind.Keys: {
         const { service, index: rowIndex } = parseKeysRowKey(row.key);
         const rows = this.#ownersByService.get(service) ?? [];
         const before = rows[rowIndex];
-        if (before !== undefined && row.version <= before.version) return;
+        const { writtenAt, ranges } = decodeKeysRow(row);
+        const isKnown = before !== undefined &&
+          compareStoreVersions(writtenAt, before.writtenAt) <= 0;
+        if (isKnown) return;
         this.#ownersByService.set(service, rows);
-        this.#versionByService.set(
-          service,
-          Math.max(row.version, this.versionOf(service)),
-        );
+        this.#versionByService.set(service, row.version);
         rows[rowIndex] = {
-          version: row.version,
-          ranges: this.#addChangeTimes(before?.ranges ?? [], decodeRanges(row)),
+          writtenAt,
+          ranges: this.#addChangeTimes(before?.ranges ?? [], ranges),
         };
         return;
       }
--- a/src/services/keyspace/granter_lease.ts
+++ b/src/services/keyspace/granter_lease.ts
@@ -4,11 +4,17 @@
  * sending grants and releases before that bound reaches the expiry.
  */
 import { err, ok, type Result } from "neverthrow";
-import type { RowWrite, StoredRow } from "../../host/row_store.ts";
+import { MessageCode } from "../../diagnostics/messages.ts";
+import type { RowsAnswer, RowWrite, StoredRow } from "../../host/row_store.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
-import type { RouterError } from "../../types/errors.ts";
+import { RouterError } from "../../types/errors.ts";
+import {
+  compareStoreVersions,
+  type StoreVersion,
+} from "../../types/store_version.ts";
 import { decodeJson, encodeJson, leaseKey, leaseTable } from "./fleet_rows.ts";
+import { longestHoldMs } from "./hold_timing.ts";
 
 /** Duration of a lease without a renewal; then another daemon can replace a lost holder. */
 export const leaseDurationMs = 2_500;
@@ -19,11 +25,29 @@
 /** A larger change of the wall clock against the monotonic clock may be due to a suspension of the machine. */
 const maxClockJumpMs = 300;
 
+/**
+ * Longest time from the writing of a lease to its end: the reading of the
+ * store's clock from which the holder counts may be as old as a call.
+ */
+const longestLeaseMs = leaseDurationMs + callTimeoutMs;
+/** Number by which terms rise with each era of the store; more than the versions that an era can lose. */
+const termsPerEra = 2 ** 22;
+/** Number of eras that are counted for a lease which the store doesn't show although the fleet has had one. */
+const erasWithoutLease = 16;
+/** Terms stay below this number, so that a double holds their fences exactly. */
+const maxTerm = 2 ** 33 - 1;
+
 interface LeaseRecord {
   /** Identifies the process that holds the lease. */
   readonly holder: string;
   /** By the store's clock; 0 when the holder has released the lease. */
   readonly expiresAtStoreMs: number;
+  /** The holder's term; missing in records of earlier releases. */
+  readonly term?: number;
+  /** The era of the store in which the record was written; missing in records of earlier releases. */
+  readonly era?: number;
+  /** By the store's clock; until then servers may have holds of earlier eras that no table shows. */
+  readonly unknownHoldsEndAtStoreMs?: number;
 }
 
 /** How an attempt to acquire or renew the lease ended. */
@@ -47,8 +71,18 @@
 export class GranterLease {
   readonly #services: ServiceLookup;
   readonly #holder: string;
-  #rowVersion = 0;
+  /** Whether a missing row means that no daemon has held the lease yet. */
+  readonly #isFirstStart: boolean;
+  #rowVersion: StoreVersion = { era: 0, number: 0 };
   #term: number | undefined;
+  /** The term that the next write of the row begins or continues. */
+  #writtenTerm = 0;
+  /** A row that may not tell all leases which still last, and the instant at which it was first read. */
+  #distrusted:
+    | { readonly version: StoreVersion; readonly readAtMs: number }
+    | undefined;
+  #unknownHoldsEndAtStoreMs: number | undefined;
+  #waitsForUnknownHolds = false;
   /** Grants and releases may be sent until this instant of the monotonic clock. */
   #expiresAtMs = -Infinity;
   #wallOffsetMs = 0;
@@ -61,20 +95,48 @@
   /** Settles with the write in progress; concurrent writes would conflict. */
   #currentWrite: Promise<unknown> = Promise.resolve();
 
-  constructor(services: ServiceLookup, options: { readonly holder: string }) {
+  constructor(
+    services: ServiceLookup,
+    options: { readonly holder: string; readonly isFirstStart?: boolean },
+  ) {
     this.#services = services;
     this.#holder = options.holder;
+    this.#isFirstStart = options.isFirstStart ?? true;
   }
 
-  /** The version of the lease's row when this process acquired it; increases with each holder. */
+  /** A number that is above those of all earlier holders, also of those that the store has lost. */
   get term(): number | undefined {
     return this.#term;
   }
 
   /** Whether grants and releases may be sent now. */
   isHeld(): boolean {
+    const nowMs = this.#clock.nowMs();
     return this.#term !== undefined && !this.mayHaveBeenSuspended() &&
-      this.#clock.nowMs() < this.#expiresAtMs;
+      !this.isUndone() && nowMs < this.#expiresAtMs;
+  }
+
+  /** Whether the store has begun a new era since the last renewal, so that it may have lost the lease. */
+  isUndone(): boolean {
+    return this.#rowVersion.era !== this.#store.eras.current;
+  }
+
+  /** The era of the store in which the lease is held. */
+  get era(): number {
+    return this.#rowVersion.era;
+  }
+
+  /** Instant until which servers may have holds that no table shows; `-Infinity` if they have none. */
+  get unknownHoldsEndAtMs(): number {
+    const endsAtStoreMs = this.#unknownHoldsEndAtStoreMs;
+    return !this.#waitsForUnknownHolds || endsAtStoreMs === undefined
+      ? -Infinity
+      : this.toLocalTime(endsAtStoreMs);
+  }
+
+  /** The end of all holds that may have been granted until now, by whomever. */
+  get allHoldsEndAtMs(): number {
+    return this.#clock.nowMs() + longestLeaseMs + longestHoldMs;
   }
 
   /** Whether the time for which the last successful renewal extended the lease has passed. */
@@ -119,15 +181,32 @@
       timeoutMs: callTimeoutMs,
     });
     if (read.isErr()) return err(read.error);
-    const { rows: [row], storeTimeMs } = read.value;
+    const { rows: [row], storeTimeMs, version } = read.value;
     const record = row && decodeJson(row) as LeaseRecord;
-    if (record?.holder === this.#holder && record.expiresAtStoreMs > 0) {
-      // An earlier write of this process was applied, but its answer was lost.
-      this.#rowVersion = row!.version;
-    } else if (record !== undefined && storeTimeMs < record.expiresAtStoreMs) {
-      return ok(LeaseState.HeldByOther);
+    const isOfEra = this.#isOfEra(record, version.era);
+    // An earlier write of this process may have been applied, with its answer
+    // lost. One of an earlier era may have undone another process's lease.
+    const isOwn = isOfEra && record?.holder === this.#holder &&
+      record.expiresAtStoreMs > 0;
+    const isHeldByOther = !isOwn && record !== undefined &&
+      storeTimeMs < record.expiresAtStoreMs;
+    const rowVersion = { era: version.era, number: row?.version ?? 0 };
+    const haveLeasesEnded = isOfEra || this.#haveLeasesEnded(rowVersion);
+    if (isHeldByOther || !haveLeasesEnded) return ok(LeaseState.HeldByOther);
+    this.#rowVersion = rowVersion;
+    const failure = this.#chooseTerm(read.value, record);
+    if (failure !== undefined) return err(failure);
+    this.#waitsForUnknownHolds = true;
+    if (!isOfEra) {
+      const leasesEndedAtMs = this.#distrusted!.readAtMs + longestLeaseMs;
+      this.#unknownHoldsEndAtStoreMs = Math.ceil(
+        storeTimeMs + leasesEndedAtMs - sentAtMs + longestHoldMs,
+      );
+    } else if ((record?.unknownHoldsEndAtStoreMs ?? 0) > storeTimeMs) {
+      this.#unknownHoldsEndAtStoreMs = record!.unknownHoldsEndAtStoreMs;
+    } else {
+      this.#unknownHoldsEndAtStoreMs = undefined;
     }
-    this.#rowVersion = row?.version ?? 0;
     // A holder that released the lease has no expiry on record; it may have
     // sent grants and releases until now.
     this.#previousExpiryStoreMs = record === undefined
@@ -137,6 +216,48 @@
     return await this.#write({ sentAtMs, answeredAtMs, storeTimeMs });
   }
 
+  /**
+   * Whether this process held the lease at the moment when it first saw the
+   * current era. Then nobody else can have acted since, while the former lease
+   * lasts: whoever takes the lease in the new era waits longer than that.
+   */
+  canContinue(): boolean {
+    const { changedAtMs } = this.#store.eras;
+    return this.#term !== undefined && this.isUndone() &&
+      changedAtMs !== undefined && changedAtMs < this.#expiresAtMs &&
+      !this.mayHaveBeenSuspended() &&
+      this.#clock.nowMs() < this.#expiresAtMs;
+  }
+
+  /** Takes the lease in a new era of the store, after `canContinue`; nobody else has granted anything then. */
+  async continue(): Promise<Result<LeaseState, RouterError>> {
+    const formerExpiresAtMs = this.#expiresAtMs;
+    const sentAtMs = this.#clock.nowMs();
+    this.#term = undefined;
+    const read = await this.#store.read(leaseTable, {
+      key: leaseKey,
+      timeoutMs: callTimeoutMs,
+    });
+    if (read.isErr()) return err(read.error);
+    const { rows: [row], storeTimeMs, version } = read.value;
+    const record = row && decodeJson(row) as LeaseRecord;
+    const isTaken = record?.era === version.era;
+    const answeredAtMs = this.#clock.nowMs();
+    if (isTaken || answeredAtMs >= formerExpiresAtMs) {
+      return ok(LeaseState.HeldByOther);
+    }
+    this.#rowVersion = { era: version.era, number: row?.version ?? 0 };
+    const failure = this.#chooseTerm(read.value, record);
+    if (failure !== undefined) return err(failure);
+    // This process knows all holds, but a successor would not.
+    this.#waitsForUnknownHolds = false;
+    this.#unknownHoldsEndAtStoreMs = Math.ceil(
+      storeTimeMs + answeredAtMs - sentAtMs + longestLeaseMs + longestHoldMs,
+    );
+    this.#previousExpiryStoreMs = storeTimeMs;
+    return await this.#write({ sentAtMs, answeredAtMs, storeTimeMs });
+  }
+
   /** Extends the lease, and applies other writes in the same transaction. */
   async renew(
     writes: readonly RowWrite[] = [],
@@ -153,7 +274,7 @@
     if (this.#term === undefined) return;
     this.#term = undefined;
     this.#expiresAtMs = -Infinity;
-    const record: LeaseRecord = { holder: this.#holder, expiresAtStoreMs: 0 };
+    const record = this.#createRecord(0);
     await this.#store.transact({
       conditions: [this.#condition()],
       writes: [{ table: leaseTable, key: leaseKey, value: encodeJson(record) }],
@@ -171,7 +292,7 @@
     // lasts at least its full duration from then on.
     const maxStoreTimeMs = sample.storeTimeMs + sentAtMs - sample.sentAtMs;
     const expiresAtStoreMs = Math.ceil(maxStoreTimeMs + leaseDurationMs);
-    const record: LeaseRecord = { holder: this.#holder, expiresAtStoreMs };
+    const record = this.#createRecord(expiresAtStoreMs);
     const answer = await this.#store.transact({
       conditions: [this.#condition()],
       writes: [
@@ -183,7 +304,7 @@
     const { isApplied, rows, storeTimeMs, version } = answer.value;
     if (!isApplied) return this.#resolveConflict(rows);
     this.#rowVersion = version;
-    this.#term ??= version;
+    this.#term ??= this.#writtenTerm;
     this.#lastSample = {
       sentAtMs,
       answeredAtMs: this.#clock.nowMs(),
@@ -203,8 +324,10 @@
   ): Result<LeaseState, RouterError> {
     const [row] = rows.filter(({ key }) => key === leaseKey);
     const record = row && decodeJson(row) as LeaseRecord;
-    if (record?.holder === this.#holder && record.expiresAtStoreMs > 0) {
-      this.#rowVersion = row!.version;
+    const isOwn = record?.holder === this.#holder &&
+      record.expiresAtStoreMs > 0 && this.#isOfEra(record, this.era);
+    if (isOwn) {
+      this.#rowVersion = { era: this.era, number: row!.version };
       return ok(LeaseState.Outdated);
     }
     this.#term = undefined;
@@ -212,6 +335,61 @@
     return ok(LeaseState.HeldByOther);
   }
 
+  #createRecord(expiresAtStoreMs: number): LeaseRecord {
+    const endsAtStoreMs = this.#unknownHoldsEndAtStoreMs;
+    return {
+      holder: this.#holder,
+      expiresAtStoreMs,
+      term: this.#writtenTerm,
+      era: this.era,
+      ...(endsAtStoreMs === undefined
+        ? {}
+        : { unknownHoldsEndAtStoreMs: endsAtStoreMs }),
+    };
+  }
+
+  /** Whether a row that doesn't tell all leases has been there for so long that these have ended. */
+  #haveLeasesEnded(version: StoreVersion): boolean {
+    const nowMs = this.#clock.nowMs();
+    const known = this.#distrusted;
+    const isKnown = known !== undefined &&
+      compareStoreVersions(known.version, version) === 0;
+    if (!isKnown) this.#distrusted = { version, readAtMs: nowMs };
+    return isKnown && nowMs - known.readAtMs >= longestLeaseMs;
+  }
+
+  /** Whether a record, or its absence, tells all leases that may still last. */
+  #isOfEra(record: LeaseRecord | undefined, era: number): boolean {
+    const hasSeenOther = this.#store.eras.changedAtMs !== undefined;
+    if (record === undefined) return this.#isFirstStart && !hasSeenOther;
+    return record.era === undefined ? !hasSeenOther : record.era === era;
+  }
+
+  /** Chooses a term above all that were given out, also in what the store has lost; returns an error if none is left. */
+  #chooseTerm(
+    { rows: [row], version }: RowsAnswer,
+    record: LeaseRecord | undefined,
+  ): RouterError | undefined {
+    const { era } = version;
+    const isOfEra = this.#isOfEra(record, era);
+    const recordEra = record?.era ??
+      (isOfEra ? era : Math.max(0, era - erasWithoutLease));
+    const known = Math.max(
+      version.number,
+      record?.term ?? row?.version ?? 0,
+      this.#services.get(ServiceName.KeySpace).granter()?.term ?? 0,
+      this.#writtenTerm,
+    );
+    const term = known + 1 + (era - recordEra) * termsPerEra;
+    if (term > maxTerm) {
+      return new RouterError(MessageCode.Internal, "acquire lease", {
+        detail: `no term is left after ${known} in era ${era}`,
+      });
+    }
+    this.#writtenTerm = term;
+    return undefined;
+  }
+
   #condition() {
     return { table: leaseTable, key: leaseKey, version: this.#rowVersion };
   }
--- a/src/services/keyspace/granter_term.ts
+++ b/src/services/keyspace/granter_term.ts
@@ -6,7 +6,13 @@
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import type { GranterLease } from "./granter_lease.ts";
+import {
+  type HoldTiming,
+  normalHoldTiming,
+  outageHoldTiming,
+} from "./hold_timing.ts";
 import type { LoadReport } from "./load_reports.ts";
+import type { KeyRanges } from "./key_ranges.ts";
 import { ServiceGranter } from "./service_granter.ts";
 import { createStopController } from "../../streams/stop_controller.ts";
 
@@ -15,27 +21,6 @@
 /** Number of fences that are reserved for the moves in progress when a term is exhausted. */
 const reservedFenceCount = 2 ** 14;
 
-/** How long holds last, and how often they are renewed. */
-export interface HoldTiming {
-  readonly durationMs: number;
-  readonly renewIntervalMs: number;
-}
-
-/** Used while the store answers; a hold outlasts the loss of the granter and the start of the next one. */
-export const normalHoldTiming: HoldTiming = {
-  durationMs: 4_500,
-  renewIntervalMs: 1_200,
-};
-/**
- * Used while the store does not answer; a hold outlasts an outage of nine
- * seconds, because the last renewal is sent shortly before the lease ends. The
- * duration stays below the maximum that servers accept.
- */
-export const outageHoldTiming: HoldTiming = {
-  durationMs: 8_000,
-  renewIntervalMs: 400,
-};
-
 /** Grants the keys of all sharded services while the lease is held. */
 export class GranterTerm {
   readonly #services: ServiceLookup;
@@ -43,17 +28,22 @@
   readonly #stopping = createStopController();
   readonly #granters = new Map<string, ServiceGranter>();
   readonly #fenceLimit: number;
+  /** The term of this daemon before, whose holds this one takes over. */
+  readonly #before: GranterTerm | undefined;
   #fenceCount = 0;
-  #holdTiming = normalHoldTiming;
+  #holdTiming: HoldTiming = normalHoldTiming;
 
   /** The term is exhausted after `fenceLimit` fences. */
   constructor(
     services: ServiceLookup,
     lease: GranterLease,
-    { fenceLimit = fencesPerTerm - reservedFenceCount }: {
+    { fenceLimit = fencesPerTerm - reservedFenceCount, before }: {
       readonly fenceLimit?: number | undefined;
+      /** An ended term that nobody else can have followed. */
+      readonly before?: GranterTerm | undefined;
     } = {},
   ) {
+    this.#before = before;
     this.#services = services;
     this.#lease = lease;
     this.#fenceLimit = fenceLimit;
@@ -70,6 +60,7 @@
         const granter = new ServiceGranter(this.#services, {
           service: service.name,
           lease: this.#lease,
+          rangesBefore: this.#before?.tryGetRanges(service.name),
           nextFence: () => this.#nextFence(),
           holdTiming: () => this.#holdTiming,
           signal,
@@ -95,6 +86,12 @@
     }
   }
 
+  /** The ranges of a service, once they are known. */
+  tryGetRanges(service: string): KeyRanges | undefined {
+    return this.#granters.get(service)?.ranges ??
+      this.#before?.tryGetRanges(service);
+  }
+
   /** Extends all holds, because the store does not answer. */
   prolongHolds(): void {
     if (this.#holdTiming === outageHoldTiming) return;
--- a/src/services/keyspace/holder_task.ts
+++ b/src/services/keyspace/holder_task.ts
@@ -24,13 +24,12 @@
 import {
   clockDriftFactor,
   deliverySlackMs,
-  type ServiceGranterOptions,
-} from "./service_granter.ts";
+  grantTimeoutMs,
+} from "./hold_timing.ts";
+import type { ServiceGranterOptions } from "./service_granter.ts";
 
 /** How many times per renewal interval a task checks its ranges. */
 const checksPerRenewal = 3;
-/** Timeout of a grant; servers answer grants immediately. */
-const grantTimeoutMs = 500;
 /** Timeout of a release; servers answer once the in-flight requests for the keys have ended. */
 const releaseTimeoutMs = 3_000;
 /** Delay after a failed grant or release. */
@@ -119,6 +118,7 @@
   async #grantIfDue(range: KeyRange, hold: Hold): Promise<void> {
     const clock = this.#services.get(ServiceName.Clock);
     if (!isGrantable(range) || !range.isRecorded) return;
+    if (clock.nowMs() < this.#options.ranges.blockedUntilMs) return;
     if (!this.#isServerRegistered()) return;
     const renewedAtMs = this.#renewedAtMs.get(hold);
     const isDue = !range.isGranted || renewedAtMs === undefined ||
--- a/src/services/keyspace/key_ranges.ts
+++ b/src/services/keyspace/key_ranges.ts
@@ -50,6 +50,8 @@
 
 /** All ranges of a service, in order and without gaps. */
 export class KeyRanges {
+  /** Instant of the monotonic clock before which nothing is granted, since unknown servers may hold any keys. */
+  readonly blockedUntilMs: number;
   readonly #nextFence: () => number;
   #ranges: KeyRange[];
   /** The ranges by the incarnations that hold them or held them; undefined after a change of the ranges. */
@@ -65,8 +67,10 @@
     readonly inheritedEndsAtMs: number;
     /** An upper bound of the monotonic clock at a time of the store's clock. */
     readonly toLocalTime: (storeMs: number) => number;
+    readonly blockedUntilMs?: number;
   }) {
     const { nextFence, records, inheritedEndsAtMs, toLocalTime } = options;
+    this.blockedUntilMs = options.blockedUntilMs ?? -Infinity;
     this.#nextFence = nextFence;
     const fence = nextFence();
     const createInheritedHold = (
@@ -96,6 +100,25 @@
     if (this.#ranges.length === 0) this.#ranges.push(createEmptyRange(fence));
   }
 
+  /** Takes the ranges and holds of an ended term over; nothing is granted until it is recorded again. */
+  static continue(before: KeyRanges, nextFence: () => number): KeyRanges {
+    const ranges = new KeyRanges({
+      nextFence,
+      records: [],
+      inheritedEndsAtMs: -Infinity,
+      toLocalTime: (storeMs) => storeMs,
+      blockedUntilMs: before.blockedUntilMs,
+    });
+    const fence = nextFence();
+    ranges.#ranges = before.all.map((range) => ({
+      ...range,
+      fence,
+      isGranted: false,
+      isRecorded: false,
+    }));
+    return ranges;
+  }
+
   /** The ranges in order. */
   get all(): readonly KeyRange[] {
     return this.#ranges;
--- a/src/services/keyspace/key_space.ts
+++ b/src/services/keyspace/key_space.ts
@@ -2,7 +2,12 @@
 import { Service } from "../../kernel/service.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import type { ChangeSignal } from "../../streams/change_signal.ts";
-import type { GranterRecord, ServerRef } from "./fleet_rows.ts";
+import type {
+  GranterRecord,
+  KeysRow,
+  KeysRowId,
+  ServerRef,
+} from "./fleet_rows.ts";
 
 /** Whether a key can be served. */
 export enum OwnershipState {
@@ -41,6 +46,9 @@
   /** Version of the newest row with owners of a service's keys; 0 when there is none. */
   abstract versionOf(service: string): number;
 
+  /** The newest row with owners that this daemon knows; the store may have lost it. */
+  abstract tryGetRow(id: KeysRowId): KeysRow | undefined;
+
   /** The number of daemons in the fleet, at least 1. */
   abstract daemonCount(): number;
 
--- a/src/services/keyspace/leased_key_granter.ts
+++ b/src/services/keyspace/leased_key_granter.ts
@@ -38,6 +38,7 @@
 export class LeasedKeyGranter extends KeyGranter {
   /** `host:port` under which peers reach this daemon. */
   readonly #peerAddress: string;
+  readonly #isFirstStart: boolean;
   readonly #fenceLimit: number | undefined;
   readonly #stopping = new AbortController();
   readonly #wake = new ChangeSignal();
@@ -50,10 +51,13 @@
       readonly peerAddress: string;
       /** Number of fences after which a term ends; defaults to nearly all fences of a term. */
       readonly fenceLimit?: number | undefined;
+      /** Whether the whole fleet starts for the first time. */
+      readonly isFirstStart?: boolean;
     },
   ) {
     super();
     this.#peerAddress = options.peerAddress;
+    this.#isFirstStart = options.isFirstStart ?? true;
     this.#fenceLimit = options.fenceLimit;
   }
 
@@ -105,7 +109,10 @@
   async #compete(services: ServiceLookup): Promise<void> {
     const { signal } = this.#stopping;
     const log = services.get(ServiceName.Log);
-    const lease = new GranterLease(services, { holder: randomUUID() });
+    const lease = new GranterLease(services, {
+      holder: randomUUID(),
+      isFirstStart: this.#isFirstStart,
+    });
     while (!signal.aborted) {
       const isDue = await this.#waitForPoll(services);
       if (signal.aborted) return;
@@ -156,36 +163,84 @@
     return keySpace.granter()?.term === granterBefore?.term;
   }
 
-  /** Grants keys until the lease is lost, the term is exhausted, or the daemon stops. */
+  /** Grants keys in one term, and in those that follow it because the store began a new era. */
   async #runTerm(services: ServiceLookup, lease: GranterLease): Promise<void> {
+    const feed = services.get(ServiceName.TableFeed);
+    let before: GranterTerm | undefined;
+    for (;;) {
+      const term: GranterTerm = new GranterTerm(services, lease, {
+        fenceLimit: this.#fenceLimit,
+        before,
+      });
+      services.get(ServiceName.Log)
+        .write(LogEvent.KeyGranterTermBegun, {
+          term: lease.term,
+          era: lease.era,
+          isContinued: before !== undefined,
+        });
+      services.get(ServiceName.Metrics).count(CounterName.CoordinatorTakeovers);
+      await this.#announce(services, lease);
+      this.#term = term;
+      // The other daemons get their tables from this one also while it takes
+      // the lease again, so that they do not all read the store.
+      feed.setActsAsRelay(true);
+      await this.#grantUntilLost(services, { lease, term });
+      if (!await this.#continueInNewEra(services, lease)) break;
+      before = term;
+    }
+    this.#term = undefined;
+    feed.setActsAsRelay(false);
+  }
+
+  /** Takes the lease again after the store began a new era; false if another daemon may have acted since. */
+  async #continueInNewEra(
+    services: ServiceLookup,
+    lease: GranterLease,
+  ): Promise<boolean> {
+    const { signal } = this.#stopping;
+    if (signal.aborted || !lease.canContinue()) return false;
+    const continued = await lease.continue();
+    if (continued.isOk()) return continued.value === LeaseState.Held;
+    services.get(ServiceName.Log).write(LogEvent.LeaseReadFailed, {
+      error: continued.error.message,
+    });
+    return false;
+  }
+
+  /** Grants keys until the lease is lost, the term is exhausted, or the daemon stops. */
+  async #grantUntilLost(
+    services: ServiceLookup,
+    { lease, term }: {
+      readonly lease: GranterLease;
+      readonly term: GranterTerm;
+    },
+  ): Promise<void> {
     const { signal } = this.#stopping;
     const log = services.get(ServiceName.Log);
     const clock = services.get(ServiceName.Clock);
-    const term = new GranterTerm(services, lease, {
-      fenceLimit: this.#fenceLimit,
-    });
-    log.write(LogEvent.KeyGranterTermBegun, { term: lease.term });
-    services.get(ServiceName.Metrics).count(CounterName.CoordinatorTakeovers);
-    await this.#announce(services, lease);
+    const { eras } = services.get(ServiceName.RowStore);
     const running = term.run();
-    this.#term = term;
-    services.get(ServiceName.TableFeed).setActsAsRelay(true);
-    let isOver = false;
+    let isOver = lease.isUndone();
     while (!signal.aborted && !isOver && !term.isExhausted) {
-      await clock.sleep(
-        lease.mayHaveBeenSuspended() ? 0 : renewIntervalMs,
+      await eras.changed.waitAtMost(clock, {
+        durationMs: lease.mayHaveBeenSuspended() ? 0 : renewIntervalMs,
+        seenCount: eras.changed.notifyCount,
         signal,
-      );
-      isOver = signal.aborted || await this.#renew(services, { lease, term });
+      });
+      isOver = signal.aborted || lease.isUndone() ||
+        await this.#renew(services, { lease, term });
     }
-    this.#term = undefined;
-    services.get(ServiceName.TableFeed).setActsAsRelay(false);
     await term.end();
     await running;
-    if (signal.aborted || term.isExhausted) await lease.release();
+    const isUndone = lease.isUndone();
+    if (!isUndone && (signal.aborted || term.isExhausted)) {
+      await lease.release();
+    }
     log.write(LogEvent.KeyGranterTermEnded, {
       reason: signal.aborted
         ? "daemon leaves"
+        : isUndone
+        ? "new era of the store"
         : term.isExhausted
         ? "fences used up"
         : "lease lost",
@@ -203,7 +258,7 @@
     const { signal } = this.#stopping;
     const log = services.get(ServiceName.Log);
     const clock = services.get(ServiceName.Clock);
-    while (!signal.aborted) {
+    while (!signal.aborted && !lease.isUndone()) {
       const cancelTimer = clock.after(
         slowRenewalMs,
         () => term.prolongHolds(),
--- a/src/services/keyspace/service_granter.ts
+++ b/src/services/keyspace/service_granter.ts
@@ -4,25 +4,32 @@
  * the servers have accepted their grants.
  */
 import { LogEvent } from "../../diagnostics/log_events.ts";
+import type { StoredRow } from "../../host/row_store.ts";
 import type { ServiceLookup } from "../../kernel/kernel.ts";
 import { ServiceName } from "../../kernel/service_name.ts";
 import { ChangeSignal } from "../../streams/change_signal.ts";
 import { incarnationOf, type ServerEntry } from "../../types/routing.ts";
+import { compareStoreVersions } from "../../types/store_version.ts";
 import { CounterName } from "../metrics/metrics.ts";
 import { assignKeyRoles, KeyRole } from "../warmup/cold_owners.ts";
 import {
-  decodeRanges,
+  decodeKeysRow,
   divideRanges,
   encodeRanges,
   FleetRowKind,
   fleetTable,
+  type KeysRow,
   keysRowKey,
   parseKeysRowKey,
   type ServerRef,
   tryClassifyRow,
 } from "./fleet_rows.ts";
 import { type GranterLease, LeaseState } from "./granter_lease.ts";
-import { type HoldTiming, outageHoldTiming } from "./granter_term.ts";
+import {
+  grantTimeoutMs,
+  type HoldTiming,
+  longestHoldMs,
+} from "./hold_timing.ts";
 import { HolderTask } from "./holder_task.ts";
 import { KeyLoad } from "./key_load.ts";
 import { KeyRanges } from "./key_ranges.ts";
@@ -41,15 +48,12 @@
 const storeRetryDelayMs = 200;
 /** Timeout of a read; long enough for a slow store to return the whole fleet table. */
 const readTimeoutMs = 1_500;
-/** A hold may last longer than granted by this factor, because the server's clock may run slow. */
-export const clockDriftFactor = 1.02;
-/** Maximum time for the delivery of a grant to the server. */
-export const deliverySlackMs = 150;
-
 /** Options of a service granter. */
 export interface ServiceGranterOptions {
   readonly service: string;
   readonly lease: GranterLease;
+  /** The ranges of this daemon's term before, if nobody else can have granted anything since. */
+  readonly rangesBefore?: KeyRanges | undefined;
   readonly nextFence: () => number;
   readonly holdTiming: () => HoldTiming;
   readonly signal: AbortSignal;
@@ -86,12 +90,19 @@
     for (const holder of this.#holders.values()) holder.renewAll();
   }
 
+  /** The ranges, once they are known. */
+  get ranges(): KeyRanges | undefined {
+    return this.#ranges;
+  }
+
   /** Runs until the term ends. */
   async run(): Promise<void> {
-    const { signal } = this.#options;
+    const { signal, rangesBefore, nextFence } = this.#options;
     const clock = this.#services.get(ServiceName.Clock);
     const directory = this.#services.get(ServiceName.Directory);
-    this.#ranges = await this.#readRecordedRanges();
+    this.#ranges = rangesBefore === undefined
+      ? await this.#readRecordedRanges()
+      : KeyRanges.continue(rangesBefore, nextFence);
     void this.#wakeOnDirectoryChanges();
     while (!signal.aborted) {
       const seenCount = this.#changed.notifyCount;
@@ -113,26 +124,62 @@
     while (!signal.aborted) {
       const answer = await this.#services.get(ServiceName.RowStore)
         .read(fleetTable, { timeoutMs: readTimeoutMs });
-      if (answer.isOk()) {
-        const records = answer.value.rows
-          .filter(({ key }) =>
-            tryClassifyRow(key) === FleetRowKind.Keys &&
-            parseKeysRowKey(key).service === service
-          )
-          .flatMap(decodeRanges)
-          .sort((a, b) => a.first - b.first);
+      if (answer.isOk() && answer.value.version.era === lease.era) {
+        const rows = answer.value.rows.filter(({ key }) =>
+          tryClassifyRow(key) === FleetRowKind.Keys &&
+          parseKeysRowKey(key).service === service
+        ).map((row) => this.#chooseNewest(row));
+        const blockedUntilMs = this.#unknownHoldsEndAtMs(rows);
         return new KeyRanges({
           nextFence,
-          records,
-          inheritedEndsAtMs: lease.previousHolderEndedAtMs +
-            outageHoldTiming.durationMs * clockDriftFactor + deliverySlackMs,
+          records: rows.flatMap(({ ranges }) => ranges)
+            .sort((a, b) => a.first - b.first),
+          inheritedEndsAtMs: Math.max(
+            blockedUntilMs,
+            lease.previousHolderEndedAtMs + longestHoldMs - grantTimeoutMs,
+          ),
           toLocalTime: (storeMs) => lease.toLocalTime(storeMs),
+          blockedUntilMs,
         });
       }
       await clock.sleep(storeRetryDelayMs, signal);
     }
   }
 
+  /** The newest content of a row of the table that this daemon knows; the store may have lost it. */
+  #chooseNewest(row: StoredRow): KeysRow {
+    const read = decodeKeysRow(row);
+    const known = this.#services.get(ServiceName.KeySpace)
+      .tryGetRow(parseKeysRowKey(row.key));
+    const isNewer = known !== undefined &&
+      compareStoreVersions(known.writtenAt, read.writtenAt) > 0;
+    return isNewer ? known : read;
+  }
+
+  /** Until when servers may have holds that the rows of the table don't show. */
+  #unknownHoldsEndAtMs(rows: readonly KeysRow[]): number {
+    const { service, lease } = this.#options;
+    const { eras } = this.#services.get(ServiceName.RowStore);
+    // Rows of earlier releases have no era.
+    const isShown = rows.every(({ writtenAt }) =>
+      writtenAt.era === lease.era ||
+      (writtenAt.era === 0 && eras.changedAtMs === undefined)
+    );
+    const endsAtMs = isShown || Number.isFinite(lease.unknownHoldsEndAtMs)
+      ? lease.unknownHoldsEndAtMs
+      : lease.allHoldsEndAtMs;
+    const waitMs = endsAtMs -
+      this.#services.get(ServiceName.Clock).nowMs();
+    if (waitMs > 0) {
+      this.#services.get(ServiceName.Log).write(LogEvent.HoldsWaitedOut, {
+        service,
+        waitMs: Math.round(waitMs),
+        era: lease.era,
+      });
+    }
+    return endsAtMs;
+  }
+
   /** Plans moves, records the ranges, and wakes the holder tasks, which send grants and releases. */
   async #updateRanges(ranges: KeyRanges): Promise<void> {
     const clock = this.#services.get(ServiceName.Clock);
@@ -258,7 +305,7 @@
       rowTexts[rowIndex] === this.#recordedTexts[rowIndex] ? [] : [{
         table: fleetTable,
         key: keysRowKey({ service, index: rowIndex }),
-        value: encodeRanges(records),
+        value: encodeRanges(records, lease.era),
       }]
     );
     while (!signal.aborted && writes.length > 0) {
--- a/src/services/metrics/metrics.ts
+++ b/src/services/metrics/metrics.ts
@@ -37,6 +37,7 @@
   PlatformWrites = "platform.writes",
   PlatformReads = "platform.reads",
   CopiesFetchedFromPeer = "copies.fetched_from_peer",
+  StoreErasBegun = "store.eras_begun",
   PeerErrors = "peers.errors",
   PeerUnauthorized = "peers.unauthorized",
   EvacuationsBegun = "evacuations.begun",
--- a/src/services/routing/followed_routing.ts
+++ b/src/services/routing/followed_routing.ts
@@ -35,6 +35,7 @@
     this.#following.start(services, {
       table: configurationTable,
       reader: {
+        keepsRow: (known, read) => this.#isNewerRow(known, read),
         onRows: (rows, origin) => this.#apply(rows, origin),
         onChanges: (changes, origin) =>
           this.#apply(changes.filter(({ isRemoved }) => !isRemoved), origin),
@@ -59,6 +60,16 @@
     return this.#matcher!.chooseService(route);
   }
 
+  /** Whether a row has a newer configuration than the one that the store came back with. */
+  #isNewerRow(known: StoredRow, read: StoredRow | undefined): boolean {
+    const tables = this.#services!.get(ServiceName.ControlTables);
+    if (!tables.isRoutingRow(known)) return false;
+    const versionOf = (row: StoredRow | undefined) =>
+      row === undefined ? -Infinity : tables.decodeRoutingTable(row)
+        .map(({ table }) => table.version).unwrapOr(-Infinity);
+    return versionOf(known) > versionOf(read);
+  }
+
   #apply(rows: readonly StoredRow[], origin: UpdateOrigin): void {
     const tables = this.#services!.get(ServiceName.ControlTables);
     for (const row of rows) {
--- a/src/testing/fake_row_store.ts
+++ b/src/testing/fake_row_store.ts
@@ -15,17 +15,28 @@
   type StoredRow,
   type TransactionAnswer,
 } from "../host/row_store.ts";
+import { StoreEras } from "../host/store_eras.ts";
 import { ChangeSignal } from "../streams/change_signal.ts";
 import { AttemptOutcome } from "../types/enums.ts";
 import { RouterError } from "../types/errors.ts";
 
 const latencyMs = 4;
 
+/** What the store contained at one moment. */
+export interface RowsCopy {
+  readonly version: number;
+  readonly rows: ReadonlyMap<string, StoredRow>;
+  readonly changes: readonly RowChange[];
+  readonly compactedVersion: number;
+}
+
 /** The rows that the daemons of one test share; the store's clock is the test's clock. */
 export class FakeRows {
   readonly changed = new ChangeSignal();
   readonly clock: Clock;
   version = 1;
+  /** Rises whenever the store comes back from an older copy. */
+  era = 1;
   /** Daemons that get no answer from the store. */
   readonly cutOff = new Set<string>();
   isDown = false;
@@ -57,7 +68,9 @@
 
   /** The changes of a table after a version; undefined if they were discarded. */
   changesAfter(table: string, version: number): RowChange[] | undefined {
-    if (version < this.#compactedVersion) return undefined;
+    if (version < this.#compactedVersion || version > this.version) {
+      return undefined;
+    }
     return this.#changes.filter((change) =>
       change.table === table && change.version > version
     );
@@ -69,6 +82,43 @@
     this.changed.notify();
   }
 
+  /** Copies the contents. */
+  takeCopy(): RowsCopy {
+    return {
+      version: this.version,
+      rows: new Map(this.#rows),
+      changes: [...this.#changes],
+      compactedVersion: this.#compactedVersion,
+    };
+  }
+
+  /**
+   * Comes back from an older copy: versions are given out again from there.
+   * Returns a function that writes the rows of the given tables again, as their
+   * writers do a moment later.
+   */
+  restore(copy: RowsCopy, rewrittenTables: readonly string[]): () => void {
+    const before = this.#rows;
+    const restored = copy.rows;
+    this.era += 1;
+    this.version = copy.version;
+    this.#rows = new Map(copy.rows);
+    this.#changes = [...copy.changes];
+    this.#compactedVersion = copy.compactedVersion;
+    this.changed.notify();
+    return () => {
+      for (const id of new Set([...restored.keys(), ...before.keys()])) {
+        const row = (before.get(id) ?? restored.get(id))!;
+        const isSame = before.get(id) === restored.get(id);
+        const isWrittenSince = this.#rows.get(id) !== restored.get(id);
+        if (isSame || isWrittenSince) continue;
+        if (!rewrittenTables.includes(row.table)) continue;
+        if (before.has(id)) this.put(row.table, row.key, row.value);
+        else this.remove(row.table, row.key);
+      }
+    };
+  }
+
   /** Discards the history of changes. */
   compact(): void {
     this.#changes = [];
@@ -105,12 +155,12 @@
       this.#rows.get(`${table}/${key}`)
     );
     const isApplied = conditions.every(({ version }, i) =>
-      (current[i]?.version ?? 0) === version
+      (current[i]?.version ?? 0) === version.number
     );
     if (isApplied) this.#write(writes);
     return {
       isApplied,
-      version: this.version,
+      version: { era: this.era, number: this.version },
       storeTimeMs: this.clock.nowMs(),
       rows: isApplied ? [] : current.filter((row) => row !== undefined),
     };
@@ -130,6 +180,7 @@
 
 /** One daemon's client of the row store. */
 export class FakeRowStore extends RowStore {
+  override readonly eras = new StoreEras();
   readonly #rows: FakeRows;
   readonly #daemonId: string;
   readonly #clock: Clock;
@@ -182,8 +233,10 @@
         await this.#clock.sleep(remainingMs, options.signal);
         return err(new RouterError(MessageCode.PlatformUnavailable, step));
       }
-      const changes = this.#rows.changesAfter(table, options.afterVersion);
-      if (changes === undefined) {
+      const { era, number } = options.afterVersion;
+      const { version } = this.#getSnapshot();
+      const changes = this.#rows.changesAfter(table, number);
+      if (changes === undefined || version.era !== era) {
         return err(new RouterError(MessageCode.StoreHistoryDiscarded, step));
       }
       const durationMs = endsAtMs - this.#clock.nowMs();
@@ -203,6 +256,10 @@
     transaction: RowTransaction,
     options: { readonly timeoutMs: number },
   ): Promise<Result<TransactionAnswer, RouterError>> {
+    const era = this.eras.current;
+    if (transaction.conditions.some(({ version }) => version.era !== era)) {
+      return err(new RouterError(MessageCode.PlatformUnavailable, "transact"));
+    }
     const failure = await this.#reach("transact", options.timeoutMs);
     if (failure !== undefined) return err(failure);
     const { lateWriteMs } = this.#rows;
@@ -212,15 +269,12 @@
         () => void this.#rows.apply(transaction),
       );
       await this.#clock.sleep(options.timeoutMs);
-      return err(
-        new RouterError(MessageCode.PlatformAnswerLost, "transact", {
-          outcome: AttemptOutcome.Unknown,
-        }),
-      );
+      return err(createLostError());
     }
     const answer = this.#rows.apply(transaction);
+    this.eras.note(answer.version.era, this.#clock.nowMs());
     await this.#clock.sleep(latencyMs);
-    return ok(answer);
+    return answer.version.era === era ? ok(answer) : err(createLostError());
   }
 
   async #reach(
@@ -238,9 +292,14 @@
   }
 
   #getSnapshot() {
-    return {
-      version: this.#rows.version,
-      storeTimeMs: this.#rows.clock.nowMs(),
-    };
+    const { era, version: number, clock } = this.#rows;
+    this.eras.note(era, this.#clock.nowMs());
+    return { version: { era, number }, storeTimeMs: clock.nowMs() };
   }
 }
+
+function createLostError(): RouterError {
+  return new RouterError(MessageCode.PlatformAnswerLost, "transact", {
+    outcome: AttemptOutcome.Unknown,
+  });
+}
--- a/standins/fleet/row_store_standin.ts
+++ b/standins/fleet/row_store_standin.ts
@@ -18,9 +18,10 @@
 import {
   configurationKey,
   evacuationKeyPrefix,
+  headerNames,
   tables,
 } from "../../platform/names.ts";
-import { FakeRows } from "../../src/testing/fake_row_store.ts";
+import { FakeRows, type RowsCopy } from "../../src/testing/fake_row_store.ts";
 
 /** Maximum number of rows in one answer. */
 const maxPageRowCount = 500;
@@ -70,6 +71,8 @@
 export class RowStoreStandin {
   readonly rows = new FakeRows(new SystemClock());
   readonly server: Server;
+  /** Number of calls that have arrived. */
+  callCount = 0;
   readonly #entrances: StoreEntrance[] = [];
   /** The cold rate of every service; null for none. */
   coldRequestsPerSecond: number | null = null;
@@ -144,14 +147,21 @@
     this.rows.remove(tables.configuration, `${evacuationKeyPrefix}${zone}`);
   }
 
+  /** Comes back from a copy that was taken before; the result writes again what operators and servers have written since. */
+  restore(copy: RowsCopy): () => void {
+    return this.rows.restore(copy, Object.values(tables));
+  }
+
   async #handle(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    this.callCount += 1;
     const url = new URL(request.url ?? "/", "http://store");
     const body = await text(request);
     const { isDown, delayMs } = this.fault;
     if (delayMs > 0) await delay(delayMs);
+    response.setHeader(headerNames.storeEra, this.rows.era);
     if (isDown) return void response.writeHead(statusUnavailable).end();
     const name = `${request.method} ${url.pathname}`;
     switch (name) {
@@ -211,7 +221,7 @@
     const answer = this.rows.apply({
       conditions: precondition.map((condition) => ({
         ...condition,
-        version: condition.obj_version,
+        version: { era: this.rows.era, number: condition.obj_version },
       })),
       writes: put.map(({ table, key, value }) => ({
         table,
@@ -227,7 +237,10 @@
   }
 
   #answer(response: ServerResponse, status: number, fields: object): void {
-    response.writeHead(status, { "content-type": "application/json" });
+    response.writeHead(status, {
+      "content-type": "application/json",
+      [headerNames.storeEra]: this.rows.era,
+    });
     response.end(JSON.stringify({
       has_more: false,
       ...fields,
--- a/standins/fleet/small_fleet.ts
+++ b/standins/fleet/small_fleet.ts
@@ -94,6 +94,7 @@
       advertisedPeerAddress: `${host}:${peerPort}`,
       metricsAddress: undefined,
       coreCount: 1,
+      isFirstStart: true,
       graceMs: 4_000,
       retryRatio: 0.2,
       retryWindowMs,
