Stop acting as key granter before the term's last commands are answered

Callers saw nothing that is known of.

Change: it stops at once again, but for a new era of the store, in which it may go on.

--- a/src/services/keyspace/leased_key_granter.ts
+++ b/src/services/keyspace/leased_key_granter.ts
@@ -165,7 +165,6 @@
 
   /** Grants keys in one term, and in those that follow it because the store began a new era. */
   async #runTerm(services: ServiceLookup, lease: GranterLease): Promise<void> {
-    const feed = services.get(ServiceName.TableFeed);
     let before: GranterTerm | undefined;
     for (;;) {
       const term: GranterTerm = new GranterTerm(services, lease, {
@@ -183,13 +182,17 @@
       this.#term = term;
       // The other daemons get their tables from this one also while it takes
       // the lease again, so that they do not all read the store.
-      feed.setActsAsRelay(true);
+      services.get(ServiceName.TableFeed).setActsAsRelay(true);
       await this.#grantUntilLost(services, { lease, term });
       if (!await this.#continueInNewEra(services, lease)) break;
       before = term;
     }
+    this.#stopActing(services);
+  }
+
+  #stopActing(services: ServiceLookup): void {
     this.#term = undefined;
-    feed.setActsAsRelay(false);
+    services.get(ServiceName.TableFeed).setActsAsRelay(false);
   }
 
   /** Takes the lease again after the store began a new era; false if another daemon may have acted since. */
@@ -230,9 +233,10 @@
       isOver = signal.aborted || lease.isUndone() ||
         await this.#renew(services, { lease, term });
     }
+    const isUndone = lease.isUndone();
+    if (!isUndone) this.#stopActing(services);
     await term.end();
     await running;
-    const isUndone = lease.isUndone();
     if (!isUndone && (signal.aborted || term.isExhausted)) {
       await lease.release();
     }
