--- a/review/lib-3/upstream.ts
+++ b/review/lib-3/upstream.ts
@@ -32,6 +32,15 @@
   readonly endsAtMs: number;
 }
 
+/** An accepted grant. */
+export interface AcceptedGrant {
+  readonly upstream: Upstream;
+  readonly first: number;
+  readonly last: number;
+  readonly fence: number;
+  readonly holdMs: number;
+}
+
 interface KeyCommand {
   readonly from: number;
   readonly to: number;
@@ -46,17 +55,24 @@
   readonly bornAtMs = Date.now();
   readonly server: Server;
   port = 0;
+  readonly #onGrant: ((grant: AcceptedGrant) => void) | undefined;
+  /** The requests for keys that are at work. */
+  readonly #running = new Set<{ key: number; ended: Promise<void> }>();
   #holds: Hold[] = [];
+  /** The commands that this life has carried out; later ones need as high a fence. */
+  readonly #seen: KeyCommand[] = [];
 
   constructor(
     options: {
       readonly id: string;
       readonly service: string;
       readonly onRequest: RequestHandler;
+      readonly onGrant?: (grant: AcceptedGrant) => void;
     },
   ) {
     this.id = options.id;
     this.service = options.service;
+    this.#onGrant = options.onGrant;
     this.server = createServer((message, response) => {
       this.#handle(message, response, options.onRequest)
         .catch(() => response.destroy());
@@ -65,8 +81,9 @@
     this.server.keepAliveTimeout = 15_000;
   }
 
-  async listen(): Promise<void> {
-    this.server.listen(0, host);
+  /** Listens at a port; any free one by default. */
+  async listen(port = 0): Promise<void> {
+    this.server.listen(port, host);
     await once(this.server, "listening");
     this.port = (this.server.address() as AddressInfo).port;
   }
@@ -109,7 +126,7 @@
       return this.#grant(JSON.parse(body.toString()), response);
     }
     if (message.url === "/api/release") {
-      return this.#release(JSON.parse(body.toString()), response);
+      return await this.#release(JSON.parse(body.toString()), response);
     }
     const id = String(message.headers["x-request-id"]);
     const key = message.headers["x-shard-key"];
@@ -119,34 +136,52 @@
         "x-not-executed": "1",
       }).end();
     }
-    await onRequest({ id, upstream: this, message, body }, response);
+    const work = Promise.resolve(
+      onRequest({ id, upstream: this, message, body }, response),
+    );
+    const running = { key: Number(key), ended: work };
+    this.#running.add(running);
+    await work.finally(() => this.#running.delete(running));
   }
 
   /** Whether this server holds a key now. */
   holds(key: number): boolean {
+    return this.fenceOf(key) !== undefined;
+  }
+
+  /** The fencing token with which this server holds a key now. */
+  fenceOf(key: number): number | undefined {
     const nowMs = performance.now();
-    return this.#holds.some((hold) =>
+    return this.#holds.find((hold) =>
       hold.first <= key && key <= hold.last && nowMs < hold.endsAtMs
-    );
+    )?.fence;
   }
 
   #grant(command: KeyCommand, response: ServerResponse): void {
-    const overlapping = this.#holds.filter((hold) => overlaps(hold, command));
-    if (overlapping.some(({ fence }) => fence > command.fence)) {
-      return void response.writeHead(409).end();
-    }
+    const isFenced = this.#seen.some((seen) =>
+      seen.from <= command.to && command.from <= seen.to &&
+      seen.fence > command.fence
+    );
+    if (isFenced) return void response.writeHead(409).end();
+    this.#seen.push(command);
     this.#cut(command);
-    this.#holds.push({
-      first: command.from,
-      last: command.to,
-      fence: command.fence,
-      endsAtMs: performance.now() + (command.hold_ms ?? 0),
-    });
+    const { from: first, to: last, fence, hold_ms: holdMs = 0 } = command;
+    const endsAtMs = performance.now() + holdMs;
+    this.#holds.push({ first, last, fence, endsAtMs });
+    this.#onGrant?.({ upstream: this, first, last, fence, holdMs });
     response.writeHead(200).end();
   }
 
-  #release(command: KeyCommand, response: ServerResponse): void {
+  /** Stops new work on the keys at once, and answers when the running work has ended. */
+  async #release(
+    command: KeyCommand,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.#seen.push(command);
     this.#cut(command);
+    const running = [...this.#running]
+      .filter(({ key }) => command.from <= key && key <= command.to);
+    await Promise.allSettled(running.map(({ ended }) => ended));
     response.writeHead(200, { "x-handover": `${this.id}-${command.from}` })
       .end();
   }
